A long log is applied in slices, so that heartbeats go out meanwhile

Cause (finding 'two leaders in a second'): the driver applied all that was committed at once; with some 130 packed route tables to unpack a newly elected replica sent no heartbeat for longer than an election takes, and the next leader did the same. Ruled out: the disk (syncs stay under 10 ms there), the size of messages (bounded before). Test: driver::a_replica_answers_while_it_applies_a_long_log (with one slice for everything it gets no answer while the log is applied).

--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -1,5 +1,6 @@
 //! The thread that drives the replicated log: it alone touches the disk and applies entries.
 
+use crate::backlog::Backlog;
 use crate::errors::{Error, Result};
 use crate::folder::Folder;
 use crate::handle::{Event, Handle, NoResult, Standing};
@@ -11,7 +12,7 @@
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Timestamp;
 use cherrystream_net::clock::Clock;
-use cherrystream_schema::messages::{Entry, HardState};
+use cherrystream_schema::messages::HardState;
 use parking_lot::RwLock;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -22,6 +23,9 @@
 
 /// Time between looks at the clock.
 const TICK: Duration = Duration::from_millis(20);
+/// Time for which committed entries are applied before the log is looked after again: far less than
+/// the time between heartbeats.
+const APPLY_SLICE: Duration = Duration::from_millis(20);
 /// Events taken before the log is flushed, so that they share one sync.
 const EVENTS_AT_ONCE: usize = 1_024;
 /// Time between tries to write where the disk had no room.
@@ -44,6 +48,7 @@
     clock: Clock,
     pub(crate) hard: HardState,
     pub(crate) applied: Position,
+    pub(crate) backlog: Backlog,
     pub(crate) snapshot_bytes: u64,
     waiters: BTreeMap<Position, Waiter>,
     reads: BTreeMap<u64, oneshot::Sender<std::result::Result<u64, NoResult>>>,
@@ -114,6 +119,7 @@
         clock,
         hard,
         applied,
+        backlog: Backlog::default(),
         snapshot_bytes: 0,
         waiters: BTreeMap::new(),
         reads: BTreeMap::new(),
@@ -137,7 +143,8 @@
 impl<F: Folder> Driver<F> {
     fn run(mut self, rx: Receiver<Event>) -> Result<()> {
         loop {
-            match rx.recv_timeout(TICK) {
+            let wait = if self.backlog.is_empty() { TICK } else { Duration::ZERO };
+            match rx.recv_timeout(wait) {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
                 Ok(event) => self.take(event),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -153,6 +160,7 @@
             self.raft.flush(now);
             self.raft.flush_reads(now);
             self.work_off()?;
+            self.apply_slice();
             self.publish();
             self.work_on_snapshots()?;
         }
@@ -229,7 +237,7 @@
             self.write(&batch)?;
         }
         self.peers.send(ready.after);
-        self.apply(&ready.committed);
+        self.backlog.extend(ready.committed);
         for read in ready.reads {
             if let Some(reply) = self.reads.remove(&read.ticket) {
                 let _ = reply.send(Ok(read.index));
@@ -260,18 +268,24 @@
         }
     }
 
-    fn apply(&mut self, committed: &[Entry]) {
-        if committed.is_empty() {
+    /// Applies some of what is committed. Reads wait until the index that they need is applied.
+    fn apply_slice(&mut self) {
+        if self.backlog.is_empty() {
             return;
         }
+        let until = Instant::now() + APPLY_SLICE;
         let mut state = self.state.write();
-        for entry in committed {
-            let applied = state.apply(entry);
-            self.applied = Position { term: entry.term, index: entry.index };
-            if let Some(waiter) = self.waiters.remove(&self.applied) {
-                let _ = waiter.send(Ok(applied));
-            }
-        }
+        let (last, waiters) = (&mut self.applied, &mut self.waiters);
+        self.backlog.apply(
+            &mut state,
+            || Instant::now() >= until,
+            |position, applied| {
+                *last = position;
+                if let Some(waiter) = waiters.remove(&position) {
+                    let _ = waiter.send(Ok(applied));
+                }
+            },
+        );
         self.metrics.keys_held.set(state.ledger().len() as i64);
     }
 
--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+pub mod backlog;
 pub mod driver;
 pub mod errors;
 pub mod folder;
--- a/crates/cherrystream-control/src/snapshots.rs
+++ b/crates/cherrystream-control/src/snapshots.rs
@@ -37,6 +37,7 @@
         }
         self.store.replace(snapshot, &self.hard, &[])?;
         self.snapshot_bytes = self.store.bytes();
+        self.backlog.clear();
         *self.state.write() = read_state(snapshot);
         self.applied = Position { term: snapshot.term, index: snapshot.index };
         log::info!("control: took a snapshot of the leader at index {}", snapshot.index);
@@ -58,7 +59,9 @@
         }
         let limit = LOG_BYTES.max(self.snapshot_bytes * LOG_PER_SNAPSHOT);
         let long = self.store.bytes() >= limit;
-        if long || !self.need_snapshot.is_empty() {
+        let wanted = long || !self.need_snapshot.is_empty();
+        // The membership of a snapshot is that of the last committed entry, which must be applied.
+        if wanted && self.backlog.is_empty() {
             self.make_snapshot(long);
         }
         Ok(())
--- /dev/null
+++ b/crates/cherrystream-control/tests/driver.rs
@@ -0,0 +1,89 @@
+//! The thread that drives the replicated log, on a real folder.
+
+use cherrystream_control::driver;
+use cherrystream_control::folder::DiskFolder;
+use cherrystream_control::handle::Handle;
+use cherrystream_control::metrics::Metrics;
+use cherrystream_control::peers::Peers;
+use cherrystream_core::raft::Options;
+use cherrystream_core::routes;
+use cherrystream_schema::messages::{
+    Command, RequestLimits, Route, RouteOrder, RouteTable, RouteTarget, RoutedService,
+};
+use std::path::Path;
+use std::time::Duration;
+
+/// Tables in the log; applying them takes many slices.
+const TABLES: u64 = 150;
+/// Routes of each table.
+const ROUTES: u64 = 300;
+
+fn order(number: u64) -> RouteOrder {
+    let route = |i: u64| Route {
+        host: format!("h{i}.example"),
+        path_prefix: format!("/v{number}/"),
+        repeatable: true,
+        timeout_us: 1_000_000,
+        target_us: 400_000,
+        priority: 1,
+        attempts_at_most: 2,
+        targets: vec![RouteTarget { service: "quotes".into(), weight: 1 }],
+    };
+    let limits = RequestLimits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout_us: 3_000_000,
+        idle_timeout_us: 15_000_000,
+    };
+    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
+    let table = RouteTable {
+        number,
+        routes: (0..ROUTES).map(|i| (format!("r{i}"), route(i))).collect(),
+        services: [("quotes".to_string(), service)].into(),
+        limits,
+    };
+    RouteOrder { table, source: String::new() }
+}
+
+fn open(folder: &Path) -> (Handle, std::thread::JoinHandle<()>) {
+    let folder = DiskFolder::try_new(folder.to_str().unwrap()).unwrap();
+    let first_election = Duration::from_millis(1);
+    let opts = Options { disk: "a".into(), first_election, ..Options::default() };
+    let peers = Peers::default();
+    driver::start(folder, opts, peers, Metrics::default(), |e| panic!("{e}")).unwrap()
+}
+
+fn stop(handle: &Handle, thread: std::thread::JoinHandle<()>) {
+    handle.events.send(cherrystream_control::handle::Event::Stop).unwrap();
+    thread.join().unwrap();
+}
+
+/// A replica that applies a long log must go on with heartbeats and votes meanwhile; otherwise the
+/// others take it for dead and elect another leader, which then does the same.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_answers_while_it_applies_a_long_log() {
+    let folder = tempfile::tempdir().unwrap();
+    let (handle, thread) = open(folder.path());
+    handle.standing.clone().wait_for(|s| s.leads).await.unwrap();
+    for number in 1..=TABLES {
+        let packed = routes::pack(&order(number));
+        handle.propose(Command::ReplaceRoutes { packed }).await.unwrap();
+    }
+    stop(&handle, thread);
+
+    let (handle, thread) = open(folder.path());
+    let mut answers = 0;
+    loop {
+        handle.views().await;
+        let applied = handle.standing.borrow().applied;
+        if handle.state.read().route_number() == TABLES {
+            break;
+        }
+        answers += u32::from(applied > 0);
+    }
+    // Reads wait for the whole log.
+    handle.read().await.unwrap();
+    assert_eq!(handle.state.read().route_number(), TABLES);
+    assert!(answers >= 3, "{answers} answers while the log was applied");
+    stop(&handle, thread);
+}
