--- a/crates/cherrystream-bench/src/slopes.rs
+++ b/crates/cherrystream-bench/src/slopes.rs
@@ -7,8 +7,8 @@
 use crate::stats;
 use argh::FromArgs;
 use cherrystream_core::reasons::Reason;
-use cherrystream_daemon::headers;
-use cherrystream_daemon::refusal::{self, Refused};
+use cherrystream_daemon::hop;
+use cherrystream_daemon::refusal::Refused;
 use cherrystream_net::body;
 use cherrystream_net::pool::Pool;
 use cherrystream_net::rpc::{self, ControlRpcClient};
@@ -341,11 +341,8 @@
     let listener = serve::listen(&format!("{base}:0")).await.map_err(|e| e.to_string())?;
     let address = listener.local_addr().map_err(|e| e.to_string())?.to_string();
     let refuse = |req: http::Request<hyper::body::Incoming>| async move {
-        let mut res = refusal::response(Refused::new(Reason::Draining));
-        if let Some(call) = req.headers().get(headers::CALL) {
-            res.headers_mut().insert(headers::CALL, call.clone());
-        }
-        res
+        let call = hop::read_call(req.headers()).map(|(_, head)| head.call);
+        hop::write_answer(call.unwrap_or_default(), Err(Refused::new(Reason::Draining)), None)
     };
     tokio::spawn(serve::serve(listener, Phases::default(), refuse));
     Ok(address)
--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -54,6 +54,29 @@
         from.get(chosen).map(|s| s.id.clone())
     }
 
+    /// Chooses a backend server among those that are not taken for busy: an offer elsewhere would
+    /// cost a hop for nothing. One of the own failure domain comes first if it is sound: its inbound
+    /// turns the request down if it would be served badly there.
+    pub fn choose_free(
+        &mut self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        tried: &[Arc<str>],
+    ) -> Option<ServerId> {
+        let is_free = |s: &&Server| {
+            !tried.contains(&s.id.name)
+                && !s.id.out
+                && !s.is_taken_for_busy(now)
+                && s.takes_work(now)
+        };
+        let free: Vec<&Server> = self.servers.iter().filter(is_free).collect();
+        let near: Vec<&Server> =
+            free.iter().copied().filter(|s| s.is_near() && s.is_sound(now)).collect();
+        let from = if near.is_empty() { free } else { near };
+        let chosen = self.choose.choose(now, rng, &from)?;
+        from.get(chosen).map(|s| s.id.clone())
+    }
+
     /// Returns what is known of a backend server.
     pub fn server(&mut self, name: &str) -> Option<&mut Server> {
         self.servers.iter_mut().find(|s| &*s.id.name == name)
--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -13,6 +13,8 @@
 const ERROR_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Share of a new sample in the average time of an answer.
 const LATENCY_SHARE: f64 = 0.1;
+/// Weight of recent errors from which a backend server does not count as sound: that of two errors.
+const SOUND_ERRORS: f64 = 0.15;
 /// How much an all-errors backend server is made to look slower.
 const ERROR_PENALTY: f64 = 20.0;
 /// How much a stalled backend server is made to look slower.
@@ -26,6 +28,9 @@
 /// Time for which a backend server that refused for good reason is left alone.
 const LEFT_ALONE: Duration = Duration::from_millis(500);
 
+/// Longest time for which an inbound is believed that it has no free slot.
+const BUSY_BELIEVED: Duration = Duration::from_millis(250);
+
 /// How far away a backend server is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -80,6 +85,8 @@
     errors: f64,
     errors_at: Timestamp,
     left_alone_until: Timestamp,
+    /// Until when it is taken to have no free slot, by its inbound's word.
+    busy_until: Timestamp,
     next_call: u64,
 }
 
@@ -99,6 +106,7 @@
             errors: 0.0,
             errors_at: Timestamp::default(),
             left_alone_until: Timestamp::default(),
+            busy_until: Timestamp::default(),
             next_call: 0,
         }
     }
@@ -134,12 +142,26 @@
         self.left_alone_until = now + LEFT_ALONE;
     }
 
+    /// Notes that its inbound turned a request down for being busy, and for how long that may last.
+    pub fn on_busy(&mut self, now: Timestamp, lasts: Duration) {
+        self.busy_until = now + lasts.min(BUSY_BELIEVED);
+    }
+
+    /// Returns whether an offer there would only be turned down.
+    pub fn is_taken_for_busy(&self, now: Timestamp) -> bool {
+        now < self.busy_until
+    }
+
     /// Takes a report, unless a later one of the same incarnation is known.
     pub fn on_report(&mut self, now: Timestamp, report: Report) {
         let stale = self.report.as_ref().is_some_and(|old| {
             old.incarnation == report.incarnation && old.sequence > report.sequence
         });
         if !stale {
+            let has_room = report.queued == 0 && report.in_flight < report.slots;
+            if has_room && report.slowness <= pace::USUAL {
+                self.busy_until = now;
+            }
             self.report = Some(report);
             self.report_at = now;
             self.started_since_report = 0;
@@ -159,6 +181,16 @@
         now >= self.left_alone_until && !(said_closed && lately)
     }
 
+    /// Returns whether it is in the failure domain of this daemon.
+    pub fn is_near(&self) -> bool {
+        self.id.distance <= Distance::SameDomain
+    }
+
+    /// Returns whether it has answered lately without errors or a stall.
+    pub fn is_sound(&self, now: Timestamp) -> bool {
+        self.error_weight(now) < SOUND_ERRORS && !self.is_stalled(now)
+    }
+
     /// Returns the number of this outbound's calls in flight there.
     pub fn own_in_flight(&self) -> usize {
         self.in_flight.len()
--- /dev/null
+++ b/crates/cherrystream-core/tests/offers.rs
@@ -0,0 +1,98 @@
+//! Where a request with a choice is offered first.
+
+use cherrystream_core::choose::{self, Distance, ServerId, Table};
+use cherrystream_core::units::Timestamp;
+use cherrystream_schema::messages::{Report, ServerState};
+use cherrystream_schema::settings::ChoicePolicy;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+
+fn ms(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn server(name: &str, distance: Distance) -> ServerId {
+    ServerId {
+        name: name.into(),
+        host: name.into(),
+        slots: 10,
+        distance,
+        out: false,
+        crossing_cost: Duration::ZERO,
+    }
+}
+
+fn report(in_flight: u32, sequence: u64) -> Report {
+    Report {
+        in_flight,
+        queued: 0,
+        slots: 10,
+        latency_us: 50_000,
+        oldest_us: 0,
+        state: ServerState::Live,
+        slowness: 100,
+        sequence,
+        incarnation: 1,
+    }
+}
+
+fn table(ids: Vec<ServerId>) -> Table {
+    let mut table = Table::new(choose::policy(ChoicePolicy::LowestLoad));
+    table.set_servers(ids);
+    table
+}
+
+fn offered(table: &mut Table, at: u64) -> Option<String> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    table.choose_free(ms(at), &mut rng, &[]).map(|id| id.name.to_string())
+}
+
+#[test]
+fn a_busy_backend_server_is_offered_nothing_until_it_may_have_room() {
+    let mut table = table(vec![server("a", Distance::SameDomain)]);
+    table.server("a").unwrap().on_busy(ms(1_000), Duration::from_millis(40));
+    assert_eq!(offered(&mut table, 1_020), None);
+    assert_eq!(offered(&mut table, 1_041).as_deref(), Some("a"));
+}
+
+#[test]
+fn a_report_of_room_ends_the_belief_that_a_backend_server_is_busy() {
+    let mut table = table(vec![server("a", Distance::SameDomain)]);
+    let known = table.server("a").unwrap();
+    known.on_busy(ms(1_000), Duration::from_millis(200));
+    known.on_report(ms(1_010), report(10, 1));
+    assert_eq!(offered(&mut table, 1_011), None);
+    table.server("a").unwrap().on_report(ms(1_020), report(3, 2));
+    assert_eq!(offered(&mut table, 1_021).as_deref(), Some("a"));
+}
+
+#[test]
+fn a_backend_server_is_believed_to_be_busy_for_a_bounded_time() {
+    let mut table = table(vec![server("a", Distance::SameDomain)]);
+    table.server("a").unwrap().on_busy(ms(1_000), Duration::from_secs(60));
+    assert_eq!(offered(&mut table, 1_400).as_deref(), Some("a"));
+}
+
+#[test]
+fn offers_go_to_the_own_failure_domain_while_it_is_sound() {
+    let mut table =
+        table(vec![server("near", Distance::SameDomain), server("far", Distance::SameRegion)]);
+    table.server("near").unwrap().on_report(ms(1_000), report(8, 1));
+    table.server("far").unwrap().on_report(ms(1_000), report(0, 1));
+    assert_eq!(offered(&mut table, 1_001).as_deref(), Some("near"));
+
+    let near = table.server("near").unwrap();
+    (0..5).for_each(|_| near.on_error(ms(1_002)));
+    assert_eq!(offered(&mut table, 1_003).as_deref(), Some("far"));
+    // Errors are forgotten, so that it is tried again.
+    assert_eq!(offered(&mut table, 6_000).as_deref(), Some("near"));
+}
+
+#[test]
+fn a_busy_one_nearby_gives_way_to_a_free_one_far_away() {
+    let mut table =
+        table(vec![server("near", Distance::SameDomain), server("far", Distance::SameRegion)]);
+    table.server("near").unwrap().on_busy(ms(1_000), Duration::from_millis(40));
+    assert_eq!(offered(&mut table, 1_001).as_deref(), Some("far"));
+}
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -33,22 +33,15 @@
 pub const OP: HeaderName = HeaderName::from_static("cherrystream-op");
 /// Backend server that a daemon chose.
 pub const SERVER: HeaderName = HeaderName::from_static("cherrystream-server");
-/// Microseconds that remain of the call.
-pub const REMAINING_US: HeaderName = HeaderName::from_static("cherrystream-remaining-us");
-/// Weight of the request when load is shed.
-pub const WEIGHT: HeaderName = HeaderName::from_static("cherrystream-weight");
-/// Microseconds that the request may wait for a slot.
-pub const WAIT_US: HeaderName = HeaderName::from_static("cherrystream-wait-us");
-/// Set on a request that is to be let in only where it is served well.
-pub const SELECTIVE: HeaderName = HeaderName::from_static("cherrystream-selective");
+/// What differs from call to call on the hop between two daemons, in compact form; see
+/// [`crate::hop`].
+pub const HOP: HeaderName = HeaderName::from_static("cherrystream-hop");
 /// Route that took the request, or its kind.
 pub const KIND: HeaderName = HeaderName::from_static("cherrystream-kind");
 /// Service on whose host the request began.
 pub const CALLER: HeaderName = HeaderName::from_static("cherrystream-caller");
 /// Claim of an unrepeatable request, as JSON.
 pub const CLAIM: HeaderName = HeaderName::from_static("cherrystream-claim");
-/// An inbound's word on the backend server, in compact form: it rides on each answer.
-pub const REPORT: HeaderName = HeaderName::from_static("cherrystream-report");
 /// What became of an attempt, as JSON.
 pub const FATE: HeaderName = HeaderName::from_static("cherrystream-fate");
 
--- /dev/null
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -0,0 +1,131 @@
+//! What two daemons tell each other about a call, on the hop between them.
+//!
+//! Values that differ from call to call travel in one compact header. HTTP/2 keeps a small table of
+//! headers for each connection, and a value that never comes again only pushes out those that do.
+
+use crate::headers::{self, Op};
+use crate::refusal::Refused;
+use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_net::body::{self, Body};
+use cherrystream_schema::messages::Report;
+use http::{HeaderMap, Response};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What differs from call to call, as the outbound says it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallHead {
+    /// Identifier of the call.
+    pub call: String,
+    /// Weight when load is shed.
+    pub weight: u32,
+    /// Microseconds that remain of the call.
+    pub remaining_us: u64,
+    /// Microseconds that it may wait for a slot.
+    pub wait_us: u64,
+    /// Retries that it may still cause.
+    pub allowance: u32,
+    /// Whether it is to be let in only where it is served well.
+    pub selective: bool,
+}
+
+/// What goes with an answer, as the inbound says it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AnswerHead {
+    /// Identifier of the call that is answered.
+    pub call: String,
+    /// Word on the backend server, if it is there.
+    pub report: Option<Report>,
+    /// Milliseconds after which to come back, on a refusal.
+    pub retry_after_ms: u32,
+}
+
+/// What does not differ between the calls of one caller to one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Aim<'a> {
+    /// Service of the backend server.
+    pub service: &'a str,
+    /// Backend server that was chosen.
+    pub server: &'a str,
+    /// Route that took the request, or its kind.
+    pub kind: &'a str,
+    /// Service on whose host the request began, where hosts have one.
+    pub caller: Option<&'a str>,
+}
+
+/// Writes a call's part of the headers.
+pub fn write_call(map: &mut HeaderMap, aim: &Aim<'_>, head: &CallHead) {
+    headers::set_static(map, headers::OP, Op::Call.as_str());
+    headers::set(map, headers::SERVICE, aim.service);
+    headers::set(map, headers::SERVER, aim.server);
+    headers::set(map, headers::KIND, aim.kind);
+    if let Some(caller) = aim.caller {
+        headers::set(map, headers::CALLER, caller);
+    }
+    headers::set_compact(map, headers::HOP, head);
+}
+
+/// Reads a call's part of the headers.
+pub fn read_call(map: &HeaderMap) -> Option<(Aim<'_>, CallHead)> {
+    let aim = Aim {
+        service: headers::text(map, &headers::SERVICE)?,
+        server: headers::text(map, &headers::SERVER)?,
+        kind: headers::text(map, &headers::KIND)?,
+        caller: headers::text(map, &headers::CALLER),
+    };
+    Some((aim, headers::compact(map, &headers::HOP)?))
+}
+
+/// Writes a backend server's answer, or why there is none. A refusal has no body here: the outbound
+/// writes the one that its caller gets.
+pub fn write_answer(
+    call: String,
+    result: Result<Response<Body>, Refused>,
+    report: Option<Report>,
+) -> Response<Body> {
+    let mut retry_after_ms = 0;
+    let mut res = match result {
+        Ok(mut res) => {
+            headers::set_static(res.headers_mut(), headers::OUTCOME, Outcome::Answered.as_str());
+            res
+        }
+        Err(refused) => {
+            retry_after_ms = u32::try_from(refused.retry_after.as_millis()).unwrap_or(u32::MAX);
+            let mut res = Response::new(body::empty());
+            headers::set_static(res.headers_mut(), headers::REASON, refused.reason.as_str());
+            res
+        }
+    };
+    let head = AnswerHead { call, report, retry_after_ms };
+    headers::set_compact(res.headers_mut(), headers::HOP, &head);
+    res
+}
+
+/// Reads what goes with an answer.
+pub fn read_answer(map: &HeaderMap) -> Option<AnswerHead> {
+    headers::compact(map, &headers::HOP)
+}
+
+/// Returns why there is no answer; `None` when there is one. A peer that gives no reason that is
+/// known here may have run the request.
+pub fn read_refusal(map: &HeaderMap, head: &AnswerHead) -> Option<Refused> {
+    let outcome = headers::text(map, &headers::OUTCOME).and_then(Outcome::read);
+    if outcome == Some(Outcome::Answered) {
+        return None;
+    }
+    let reason = headers::text(map, &headers::REASON).and_then(Reason::read);
+    let retry_after = Duration::from_millis(head.retry_after_ms.into());
+    Some(Refused { reason: reason.unwrap_or(Reason::PeerBroke), retry_after })
+}
+
+impl CallHead {
+    /// Returns the time that remains of the call.
+    pub fn remaining(&self) -> Duration {
+        Duration::from_micros(self.remaining_us)
+    }
+
+    /// Returns the time that the call may wait for a slot.
+    pub fn wait(&self) -> Duration {
+        Duration::from_micros(self.wait_us)
+    }
+}
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -242,6 +242,7 @@
         }
         headers::remove_hop_by_hop(&mut parts.headers);
         headers::remove_own(&mut parts.headers);
+        self.interface.remove_answer_head(&mut parts.headers);
         let body = Watched::watch(body, move |ending| {
             if ending == Ending::Whole {
                 permit.answered();
--- a/crates/cherrystream-daemon/src/lib.rs
+++ b/crates/cherrystream-daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod errors;
 pub mod headers;
 pub mod held;
+pub mod hop;
 pub mod inbound;
 pub mod instances;
 pub mod ledger;
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -123,7 +123,7 @@
         let reason = result.as_ref().err().map(|refused| refused.reason);
         self.request_log.finish(now, &summary, reason, took, held.revision);
         self.metrics.call_seconds.observe(took.as_secs_f64());
-        self.write_answer((summary.service, summary.kind), id, result)
+        self.write_answer(summary, id, result)
     }
 
     async fn carry_out(&self, call: &mut Call, held: &Held) -> Tried {
@@ -212,8 +212,12 @@
         let Choosing { table, rng, .. } = &mut *choosing;
         // When all were tried, the first may have a free slot by now.
         let avoided: Vec<_> = call.tried.iter().chain(&call.busy).cloned().collect();
-        let server = table.choose(now, rng, &avoided).or_else(|| {
-            // All were asked: it takes what it gets, from one that has not failed it yet.
+        let free = match call.is_selective() {
+            true => table.choose_free(now, rng, &avoided),
+            false => table.choose(now, rng, &avoided),
+        };
+        let server = free.or_else(|| {
+            // None has room: it takes what it gets, from one that has not failed it yet.
             call.selective_offers = 0;
             table.choose(now, rng, &call.tried).or_else(|| table.choose(now, rng, &[]))
         });
@@ -336,13 +340,13 @@
 
     fn write_answer(
         &self,
-        labels: (String, String),
+        summary: RequestSummary,
         id: Option<String>,
         result: Tried,
     ) -> Response<Body> {
         let (mut res, outcome) = match result {
             Ok(mut res) => {
-                self.interface.mark_answered(res.headers_mut());
+                self.interface.mark_answered(res.headers_mut(), &summary.id);
                 (res, Outcome::Answered)
             }
             Err(refused) => {
@@ -353,7 +357,7 @@
                 (self.interface.write_refusal(&head), reason.outcome())
             }
         };
-        let (service, kind) = labels;
+        let RequestSummary { service, kind, .. } = summary;
         let labels = CallLabels { service, kind, outcome: outcome.as_str() };
         self.metrics.calls.get_or_create(&labels).inc();
         // A caller on a kept connection learns that it should go to another host.
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -339,6 +339,7 @@
     headers::remove_hop_by_hop(&mut map);
     headers::remove_own(&mut map);
     map.remove(header::EXPECT);
+    outbound.interface.remove_caller_head(&mut map);
     if let Some(service) = &outbound.caller_service {
         outbound.interface.write_caller_service(&mut map, service);
     }
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -2,8 +2,9 @@
 
 use super::request::Call;
 use super::{Outbound, Tried};
-use crate::headers::{self, Op};
+use crate::headers;
 use crate::held::Held;
+use crate::hop;
 use crate::inbound::{HELD_BYTES, InboundCall};
 use crate::peer::NoAnswer;
 use crate::peer_server::ClaimHeader;
@@ -13,7 +14,6 @@
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::units;
 use cherrystream_net::body::{self, Body, Start};
-use cherrystream_schema::messages::Report;
 use http::{HeaderMap, Request, Response, Uri, header};
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +38,9 @@
             Ok(res) if res.status().is_server_error() => s.on_error(now),
             Ok(_) => s.on_answer(took),
             Err(refused) if refused.reason.outcome() == Outcome::Unknown => s.on_error(now),
+            Err(refused) if refused.reason == Reason::BusyNow => {
+                s.on_busy(now, refused.retry_after);
+            }
             Err(refused) if is_closed(refused.reason) => s.on_closed(now),
             Err(_) => {}
         });
@@ -144,21 +147,21 @@
         claimed: Option<Claimed>,
     ) {
         let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        headers::set_static(map, headers::OP, Op::Call.as_str());
-        headers::set(map, headers::SERVICE, &call.service);
-        headers::set(map, headers::SERVER, &server.name);
-        headers::set(map, headers::CALL, &call.id);
-        headers::set(map, headers::WEIGHT, call.treatment.weight);
-        headers::set(map, headers::KIND, &call.treatment.kind);
-        if let Some(caller) = &self.caller_service {
-            headers::set(map, headers::CALLER, caller);
-        }
-        headers::set(map, headers::REMAINING_US, units::micros(remaining));
-        headers::set(map, headers::WAIT_US, units::micros(self.wait_left(call)));
-        headers::set(map, headers::ALLOWANCE, call.allowance.left());
-        if call.is_selective() {
-            headers::set_static(map, headers::SELECTIVE, "1");
-        }
+        let aim = hop::Aim {
+            service: &call.service,
+            server: &server.name,
+            kind: &call.treatment.kind,
+            caller: self.caller_service.as_deref(),
+        };
+        let head = hop::CallHead {
+            call: call.id.clone(),
+            weight: call.treatment.weight,
+            remaining_us: units::micros(remaining),
+            wait_us: units::micros(self.wait_left(call)),
+            allowance: call.allowance.left(),
+            selective: call.is_selective(),
+        };
+        hop::write_call(map, &aim, &head);
         if let Some(Claimed { claim, index, incarnation }) = claimed {
             headers::set_json(map, headers::CLAIM, &ClaimHeader { claim, index, incarnation });
         }
@@ -182,21 +185,20 @@
         {
             self.newer.see(address, revision);
         }
-        if headers::text(map, &headers::CALL) != Some(&call.id) {
+        let Some(head) = hop::read_answer(map).filter(|head| head.call == call.id) else {
             return Err(Refused::new(Reason::WrongCall));
-        }
-        if let Some(report) = headers::compact::<Report>(map, &headers::REPORT) {
+        };
+        let refused = hop::read_refusal(map, &head);
+        if let Some(report) = head.report {
             self.with_server(call, server, |s, now| s.on_report(now, report));
         }
-        match headers::text(map, &headers::OUTCOME).and_then(Outcome::read) {
-            Some(Outcome::Answered) => {
-                let (mut parts, body) = res.into_parts();
-                headers::remove_own(&mut parts.headers);
-                parts.version = http::Version::HTTP_11;
-                Ok(Response::from_parts(parts, body))
-            }
-            _ => Err(read_refusal(map)),
+        if let Some(refused) = refused {
+            return Err(refused);
         }
+        let (mut parts, body) = res.into_parts();
+        headers::remove_own(&mut parts.headers);
+        parts.version = http::Version::HTTP_11;
+        Ok(Response::from_parts(parts, body))
     }
 
     pub(super) fn with_server<R>(
@@ -271,10 +273,3 @@
     let built = built.path_and_query(path.map_or("/".into(), |p| p.to_string())).build();
     built.map_err(|_| Refused::new(Reason::BadRequest))
 }
-
-/// A peer that gives no reason that is known here may have run the request.
-fn read_refusal(map: &HeaderMap) -> Refused {
-    let reason = headers::text(map, &headers::REASON).and_then(Reason::read);
-    let ms = headers::parsed(map, &headers::RETRY_AFTER_MS).unwrap_or(100);
-    Refused { reason: reason.unwrap_or(Reason::PeerBroke), retry_after: Duration::from_millis(ms) }
-}
--- a/crates/cherrystream-daemon/src/own_interface.rs
+++ b/crates/cherrystream-daemon/src/own_interface.rs
@@ -37,6 +37,9 @@
 
     fn write_caller_service(&self, _headers: &mut HeaderMap, _service: &str) {}
 
+    // All own headers are removed on the way.
+    fn remove_caller_head(&self, _map: &mut HeaderMap) {}
+
     fn write_send(&self, map: &mut HeaderMap, send: &SendHead<'_>) {
         headers::set(map, headers::CALL, send.id);
         headers::set(map, headers::DEADLINE_MS, send.time_left.as_millis().max(1));
@@ -53,12 +56,14 @@
         None
     }
 
+    fn remove_answer_head(&self, _map: &mut HeaderMap) {}
+
     fn write_refusal(&self, refusal: &RefusalHead<'_>) -> Response<Body> {
         let RefusalHead { reason, retry_after, .. } = *refusal;
         refusal::response(refusal::Refused { reason, retry_after })
     }
 
-    fn mark_answered(&self, map: &mut HeaderMap) {
+    fn mark_answered(&self, map: &mut HeaderMap, _id: &str) {
         headers::set_static(map, headers::OUTCOME, Outcome::Answered.as_str());
     }
 
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -2,12 +2,13 @@
 
 use crate::headers::{self, Op};
 use crate::held::HeldCell;
-use crate::inbound::{Inbound, InboundAnswer, InboundCall};
+use crate::hop;
+use crate::inbound::{Inbound, InboundCall};
 use crate::metrics::Metrics;
 use crate::refusal::{self, Refused};
 use cherrystream_core::attempts::{Claimed, RequestKey};
 use cherrystream_core::deadline::Deadline;
-use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_core::reasons::Reason;
 use cherrystream_core::units::Dotted;
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::clock::Clock;
@@ -18,7 +19,6 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Largest body of a question between daemons.
 const QUESTION_BYTES: usize = 64 * 1024;
@@ -74,46 +74,38 @@
             return refusal::response(Refused::new(Reason::BadRequest));
         };
         let id = call.call.clone();
-        let mut res = write_answer(self.inbound.call(call).await);
-        headers::set(res.headers_mut(), headers::CALL, id);
-        res
+        let answer = self.inbound.call(call).await;
+        hop::write_answer(id, answer.result, answer.report)
     }
 
     fn read_call(&self, req: Request<Incoming>) -> Option<InboundCall> {
         let (mut parts, incoming) = req.into_parts();
         let map = &parts.headers;
-        let service: Arc<str> = headers::text(map, &headers::SERVICE)?.into();
-        let server = headers::text(map, &headers::SERVER)?.into();
-        let weight = headers::parsed(map, &headers::WEIGHT)?;
-        let kind = headers::text(map, &headers::KIND)?.into();
-        let caller = headers::text(map, &headers::CALLER).map(Into::into);
-        let call = headers::text(map, &headers::CALL)?.into();
-        let remaining = Duration::from_micros(headers::parsed(map, &headers::REMAINING_US)?);
-        let wait_at_most = Duration::from_micros(headers::parsed(map, &headers::WAIT_US)?);
-        let selective = map.contains_key(headers::SELECTIVE);
+        let (aim, head) = hop::read_call(map)?;
+        let service: Arc<str> = aim.service.into();
+        let server = aim.server.into();
+        let kind = aim.kind.into();
+        let caller = aim.caller.map(Into::into);
         let claimed = read_claim(map, &service);
-        let allowance = headers::text(map, &headers::ALLOWANCE).map(str::to_string);
         headers::remove_own(&mut parts.headers);
-        if let Some(allowance) = allowance {
-            headers::set(&mut parts.headers, headers::ALLOWANCE, allowance);
-        }
+        headers::set(&mut parts.headers, headers::ALLOWANCE, head.allowance);
         // HTTP/2 carries the host name in the target; HTTP/1.1 wants it as a header.
         if let Some(authority) = parts.uri.authority() {
             headers::set(&mut parts.headers, header::HOST, authority);
         }
         parts.uri = parts.uri.path_and_query()?.as_str().parse().ok()?;
-        let deadline = Deadline::new(self.clock.now(), None, remaining);
+        let deadline = Deadline::new(self.clock.now(), None, head.remaining());
         let req = Request::from_parts(parts, body::incoming(incoming));
         Some(InboundCall {
             service,
             server,
             kind,
             caller,
-            weight,
+            weight: head.weight,
             deadline,
-            wait_at_most,
-            selective,
-            call,
+            wait_at_most: head.wait(),
+            selective: head.selective,
+            call: head.call,
             claimed,
             req,
         })
@@ -168,18 +160,3 @@
         _ => None,
     }
 }
-
-fn write_answer(answer: InboundAnswer) -> Response<Body> {
-    let mut res = match answer.result {
-        Ok(mut res) => {
-            let map = res.headers_mut();
-            headers::set_static(map, headers::OUTCOME, Outcome::Answered.as_str());
-            res
-        }
-        Err(refused) => refusal::response(refused),
-    };
-    if let Some(report) = &answer.report {
-        headers::set_compact(res.headers_mut(), headers::REPORT, report);
-    }
-    res
-}
--- /dev/null
+++ b/crates/cherrystream-daemon/tests/hop.rs
@@ -0,0 +1,78 @@
+//! What two daemons tell each other about a call.
+
+use cherrystream_core::reasons::Reason;
+use cherrystream_daemon::headers;
+use cherrystream_daemon::hop::{self, Aim, CallHead};
+use cherrystream_daemon::refusal::Refused;
+use cherrystream_net::body;
+use cherrystream_schema::messages::{Report, ServerState};
+use http::{HeaderMap, Response};
+use http_body::Body;
+use std::time::Duration;
+
+fn report() -> Report {
+    Report {
+        in_flight: 3,
+        queued: 1,
+        slots: 9,
+        latency_us: 42_000,
+        oldest_us: 7,
+        state: ServerState::Live,
+        slowness: 100,
+        sequence: 12,
+        incarnation: u64::MAX,
+    }
+}
+
+#[test]
+fn a_call_is_read_as_it_was_written() {
+    let mut map = HeaderMap::new();
+    let aim = Aim { service: "quotes", server: "q-1", kind: "r-7", caller: Some("payouts") };
+    let head = CallHead {
+        call: "9c41d07be2a35f68".into(),
+        weight: 999,
+        remaining_us: 800_000,
+        wait_us: 80_000,
+        allowance: 1,
+        selective: true,
+    };
+    hop::write_call(&mut map, &aim, &head);
+    let (read_aim, read_head) = hop::read_call(&map).unwrap();
+    assert_eq!(read_head, head);
+    assert_eq!(
+        (read_aim.service, read_aim.server, read_aim.kind, read_aim.caller),
+        ("quotes", "q-1", "r-7", Some("payouts"))
+    );
+    // What differs from call to call is in one header, and short.
+    let value = map.get(headers::HOP).unwrap();
+    assert!(value.len() <= 48, "{} bytes", value.len());
+}
+
+#[test]
+fn a_refusal_tells_its_reason_and_when_to_come_back_and_nothing_else() {
+    let retry_after = Duration::from_millis(35);
+    let refused = Refused { reason: Reason::BusyNow, retry_after };
+    let res = hop::write_answer("c".into(), Err(refused), Some(report()));
+    assert!(res.body().is_end_stream());
+    let head = hop::read_answer(res.headers()).unwrap();
+    assert_eq!((head.call.as_str(), head.report.clone()), ("c", Some(report())));
+    assert_eq!(hop::read_refusal(res.headers(), &head), Some(refused));
+}
+
+#[test]
+fn an_answer_is_no_refusal() {
+    let answer = Response::new(body::full("x"));
+    let res = hop::write_answer("c".into(), Ok(answer), None);
+    let head = hop::read_answer(res.headers()).unwrap();
+    assert_eq!(hop::read_refusal(res.headers(), &head), None);
+}
+
+/// A peer of another version may have run the request: that is never told as "not run".
+#[test]
+fn a_refusal_without_a_known_reason_promises_nothing() {
+    let mut res = hop::write_answer("c".into(), Err(Refused::new(Reason::BusyNow)), None);
+    headers::set_static(res.headers_mut(), headers::REASON, "of-a-later-version");
+    let head = hop::read_answer(res.headers()).unwrap();
+    let refused = hop::read_refusal(res.headers(), &head).unwrap();
+    assert_eq!(refused.reason, Reason::PeerBroke);
+}
--- a/crates/cherrystream-net/src/interface.rs
+++ b/crates/cherrystream-net/src/interface.rs
@@ -99,6 +99,9 @@
     /// Names the service of the host where the request began.
     fn write_caller_service(&self, headers: &mut HeaderMap, service: &str);
 
+    /// Removes what a caller says about its request: a backend server is told anew.
+    fn remove_caller_head(&self, headers: &mut HeaderMap);
+
     /// Writes what a backend server is told.
     fn write_send(&self, headers: &mut HeaderMap, send: &SendHead<'_>);
 
@@ -108,11 +111,15 @@
     /// Reads a backend server's word on its load, if it gives one.
     fn read_load(&self, head: &response::Parts) -> Option<ServerLoad>;
 
+    /// Removes what a backend server says to the system only. [`CallInterface::mark_answered`] writes
+    /// what its caller gets of it.
+    fn remove_answer_head(&self, headers: &mut HeaderMap);
+
     /// Writes the answer to a request that no backend server answered.
     fn write_refusal(&self, refusal: &RefusalHead<'_>) -> Response<Body>;
 
-    /// Marks an answer of a backend server, where the interface does so.
-    fn mark_answered(&self, headers: &mut HeaderMap);
+    /// Marks an answer of a backend server to the request with an identifier.
+    fn mark_answered(&self, headers: &mut HeaderMap, id: &str);
 
     /// Returns whether a path asks for the readiness of the daemon.
     fn is_readiness(&self, path: &str) -> bool;
