Refusals are believed by kind of request; full queues everywhere are answered at once

Change: choose::refusals; a refusal for the queue's length is believed until the queue must have shrunk to what the request can wait, 100 ms at most. Tests: offers::what_one_kind_is_refused_tells_nothing_of_another, offers::a_request_is_refused_at_once_where_every_queue_is_too_long.

--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -1,6 +1,7 @@
 //! Choosing a backend server: what an outbound knows of each, and the policies that weigh it.
 
 mod policies;
+mod refusals;
 mod server;
 
 pub use policies::{Choose, policy};
@@ -9,6 +10,7 @@
 use crate::units::Timestamp;
 use rand::rngs::SmallRng;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The backend servers of one service as an outbound knows them.
 pub struct Table {
@@ -62,11 +64,12 @@
         now: Timestamp,
         rng: &mut SmallRng,
         tried: &[Arc<str>],
+        kind: &str,
     ) -> Option<ServerId> {
         let is_free = |s: &&Server| {
             !tried.contains(&s.id.name)
                 && !s.id.out
-                && !s.is_taken_for_busy(now)
+                && !s.is_taken_for_busy(now, kind)
                 && s.takes_work(now)
         };
         let free: Vec<&Server> = self.servers.iter().filter(is_free).collect();
@@ -77,6 +80,35 @@
         from.get(chosen).map(|s| s.id.clone())
     }
 
+    /// Chooses a backend server among those where the request is not taken to be refused for the length
+    /// of the queue.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which that may change, when it is so everywhere.
+    pub fn choose_open(
+        &mut self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        tried: &[Arc<str>],
+        kind: &str,
+    ) -> Result<Option<ServerId>, Duration> {
+        let full_for = |s: &Server| s.is_taken_for_full_for(now, kind);
+        let full: Vec<Arc<str>> = self
+            .servers
+            .iter()
+            .filter(|s| !full_for(s).is_zero())
+            .map(|s| s.id.name.clone())
+            .collect();
+        let avoided: Vec<Arc<str>> = full.iter().chain(tried).cloned().collect();
+        let chosen = self.choose(now, rng, &avoided);
+        let soonest = self.servers.iter().map(full_for).filter(|d| !d.is_zero()).min();
+        match (chosen, soonest) {
+            (None, Some(soonest)) => Err(soonest),
+            (chosen, _) => Ok(chosen),
+        }
+    }
+
     /// Returns what is known of a backend server.
     pub fn server(&mut self, name: &str) -> Option<&mut Server> {
         self.servers.iter_mut().find(|s| &*s.id.name == name)
--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -1,5 +1,6 @@
 //! What an outbound knows of one backend server.
 
+use super::refusals::Refusals;
 use crate::pace;
 use crate::units::Timestamp;
 use cherrystream_schema::messages::{Report, ServerState};
@@ -28,9 +29,6 @@
 /// Time for which a backend server that refused for good reason is left alone.
 const LEFT_ALONE: Duration = Duration::from_millis(500);
 
-/// Longest time for which an inbound is believed that it has no free slot.
-const BUSY_BELIEVED: Duration = Duration::from_millis(250);
-
 /// How far away a backend server is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -85,8 +83,7 @@
     errors: f64,
     errors_at: Timestamp,
     left_alone_until: Timestamp,
-    /// Until when it is taken to have no free slot, by its inbound's word.
-    busy_until: Timestamp,
+    refusals: Refusals,
     next_call: u64,
 }
 
@@ -106,7 +103,7 @@
             errors: 0.0,
             errors_at: Timestamp::default(),
             left_alone_until: Timestamp::default(),
-            busy_until: Timestamp::default(),
+            refusals: Refusals::default(),
             next_call: 0,
         }
     }
@@ -143,13 +140,24 @@
     }
 
     /// Notes that its inbound turned a request down for being busy, and for how long that may last.
-    pub fn on_busy(&mut self, now: Timestamp, lasts: Duration) {
-        self.busy_until = now + lasts.min(BUSY_BELIEVED);
+    pub fn on_busy(&mut self, now: Timestamp, kind: &str, lasts: Duration) {
+        self.refusals.on_busy(now, kind, lasts);
+    }
+
+    /// Notes that its inbound refused a request that could not wait for its turn, and for how long that
+    /// may last.
+    pub fn on_full(&mut self, now: Timestamp, kind: &str, lasts: Duration) {
+        self.refusals.on_full(now, kind, lasts);
     }
 
     /// Returns whether an offer there would only be turned down.
-    pub fn is_taken_for_busy(&self, now: Timestamp) -> bool {
-        now < self.busy_until
+    pub fn is_taken_for_busy(&self, now: Timestamp, kind: &str) -> bool {
+        self.refusals.is_busy(now, kind)
+    }
+
+    /// Returns how long a request would only be refused there.
+    pub fn is_taken_for_full_for(&self, now: Timestamp, kind: &str) -> Duration {
+        self.refusals.full_for(now, kind)
     }
 
     /// Takes a report, unless a later one of the same incarnation is known.
@@ -160,7 +168,7 @@
         if !stale {
             let has_room = report.queued == 0 && report.in_flight < report.slots;
             if has_room && report.slowness <= pace::USUAL {
-                self.busy_until = now;
+                self.refusals.on_room();
             }
             self.report = Some(report);
             self.report_at = now;
--- a/crates/cherrystream-core/tests/offers.rs
+++ b/crates/cherrystream-core/tests/offers.rs
@@ -45,13 +45,13 @@
 
 fn offered(table: &mut Table, at: u64) -> Option<String> {
     let mut rng = SmallRng::seed_from_u64(1);
-    table.choose_free(ms(at), &mut rng, &[]).map(|id| id.name.to_string())
+    table.choose_free(ms(at), &mut rng, &[], "order").map(|id| id.name.to_string())
 }
 
 #[test]
 fn a_busy_backend_server_is_offered_nothing_until_it_may_have_room() {
     let mut table = table(vec![server("a", Distance::SameDomain)]);
-    table.server("a").unwrap().on_busy(ms(1_000), Duration::from_millis(40));
+    table.server("a").unwrap().on_busy(ms(1_000), "order", Duration::from_millis(40));
     assert_eq!(offered(&mut table, 1_020), None);
     assert_eq!(offered(&mut table, 1_041).as_deref(), Some("a"));
 }
@@ -60,7 +60,7 @@
 fn a_report_of_room_ends_the_belief_that_a_backend_server_is_busy() {
     let mut table = table(vec![server("a", Distance::SameDomain)]);
     let known = table.server("a").unwrap();
-    known.on_busy(ms(1_000), Duration::from_millis(200));
+    known.on_busy(ms(1_000), "order", Duration::from_millis(200));
     known.on_report(ms(1_010), report(10, 1));
     assert_eq!(offered(&mut table, 1_011), None);
     table.server("a").unwrap().on_report(ms(1_020), report(3, 2));
@@ -70,7 +70,7 @@
 #[test]
 fn a_backend_server_is_believed_to_be_busy_for_a_bounded_time() {
     let mut table = table(vec![server("a", Distance::SameDomain)]);
-    table.server("a").unwrap().on_busy(ms(1_000), Duration::from_secs(60));
+    table.server("a").unwrap().on_busy(ms(1_000), "order", Duration::from_secs(60));
     assert_eq!(offered(&mut table, 1_400).as_deref(), Some("a"));
 }
 
@@ -89,10 +89,36 @@
     assert_eq!(offered(&mut table, 6_000).as_deref(), Some("near"));
 }
 
+/// Calls by running requests have slots of their own.
+#[test]
+fn what_one_kind_is_refused_tells_nothing_of_another() {
+    let mut table = table(vec![server("a", Distance::SameDomain)]);
+    table.server("a").unwrap().on_busy(ms(1_000), "quote", Duration::from_millis(200));
+    assert_eq!(offered(&mut table, 1_001).as_deref(), Some("a"));
+}
+
+#[test]
+fn a_request_is_refused_at_once_where_every_queue_is_too_long() {
+    let mut table =
+        table(vec![server("a", Distance::SameDomain), server("b", Distance::SameRegion)]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let full = Duration::from_millis(40);
+    table.server("a").unwrap().on_full(ms(1_000), "order", full);
+    let open = table.choose_open(ms(1_001), &mut rng, &[], "order");
+    assert_eq!(open.unwrap().unwrap().name.as_ref(), "b");
+    table.server("b").unwrap().on_full(ms(1_005), "order", full);
+    let open = table.choose_open(ms(1_006), &mut rng, &[], "order");
+    assert_eq!(open, Err(Duration::from_millis(34)));
+    let open = table.choose_open(ms(1_006), &mut rng, &[], "call");
+    assert!(open.unwrap().is_some());
+    let open = table.choose_open(ms(1_041), &mut rng, &[], "order");
+    assert_eq!(open.unwrap().unwrap().name.as_ref(), "a");
+}
+
 #[test]
 fn a_busy_one_nearby_gives_way_to_a_free_one_far_away() {
     let mut table =
         table(vec![server("near", Distance::SameDomain), server("far", Distance::SameRegion)]);
-    table.server("near").unwrap().on_busy(ms(1_000), Duration::from_millis(40));
+    table.server("near").unwrap().on_busy(ms(1_000), "order", Duration::from_millis(40));
     assert_eq!(offered(&mut table, 1_001).as_deref(), Some("far"));
 }
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -212,15 +212,24 @@
         let Choosing { table, rng, .. } = &mut *choosing;
         // When all were tried, the first may have a free slot by now.
         let avoided: Vec<_> = call.tried.iter().chain(&call.busy).cloned().collect();
+        let kind = call.treatment.kind.as_str();
         let free = match call.is_selective() {
-            true => table.choose_free(now, rng, &avoided),
-            false => table.choose(now, rng, &avoided),
+            true => table.choose_free(now, rng, &avoided, kind),
+            false => None,
+        };
+        let server = match free {
+            Some(server) => Some(server),
+            None => {
+                // None has room: it takes what it gets, from one that has not failed it yet.
+                call.selective_offers = 0;
+                let open = table.choose_open(now, rng, &call.tried, kind);
+                let open = open.map_err(|retry_after| Refused {
+                    retry_after,
+                    ..Refused::new(Reason::QueueTooLong)
+                })?;
+                open.or_else(|| table.choose(now, rng, &[]))
+            }
         };
-        let server = free.or_else(|| {
-            // None has room: it takes what it gets, from one that has not failed it yet.
-            call.selective_offers = 0;
-            table.choose(now, rng, &call.tried).or_else(|| table.choose(now, rng, &[]))
-        });
         let server = server.ok_or(Refused::new(Reason::NoBackendServer))?;
         if !call.is_selective() {
             call.tried.push(server.name.clone());
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -31,6 +31,7 @@
         claimed: Option<Claimed>,
     ) -> Tried {
         let started = self.clock.now();
+        let patience = self.wait_left(call);
         let _flight = Flight::start(self, call, server);
         let result = self.attempt_within(call, held, server, claimed).await;
         let took = self.clock.now().since(started);
@@ -39,7 +40,12 @@
             Ok(_) => s.on_answer(took),
             Err(refused) if refused.reason.outcome() == Outcome::Unknown => s.on_error(now),
             Err(refused) if refused.reason == Reason::BusyNow => {
-                s.on_busy(now, refused.retry_after);
+                s.on_busy(now, &call.treatment.kind, refused.retry_after);
+            }
+            Err(refused) if is_queue(refused.reason) => {
+                // What is ahead in the queue must shrink to what the request can wait.
+                let lasts = refused.retry_after.saturating_sub(patience);
+                s.on_full(now, &call.treatment.kind, lasts);
             }
             Err(refused) if is_closed(refused.reason) => s.on_closed(now),
             Err(_) => {}
@@ -261,6 +267,11 @@
     )
 }
 
+/// Returns whether others that waited in front were the reason.
+fn is_queue(reason: Reason) -> bool {
+    matches!(reason, Reason::QueueTooLong | Reason::QueueFull)
+}
+
 fn request_key(call: &Call) -> Option<RequestKey> {
     Some(RequestKey { service: call.service.clone(), key: call.key.clone()? })
 }
