A request rather waits a little in its own failure domain than leaves it

Change: where a sound backend server nearby works about as usual and is expected to have room within half of the time that the request may wait, and within crossing_cost_ms, it waits there. Tests: offers::a_request_waits_nearby_only_where_its_turn_comes_soon, offers::a_request_does_not_wait_nearby_where_work_is_slow_or_fails.

--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -80,6 +80,28 @@
         from.get(chosen).map(|s| s.id.clone())
     }
 
+    /// Chooses a backend server of the own failure domain where a request that waits has its turn within
+    /// a time.
+    pub fn choose_near_within(
+        &mut self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        tried: &[Arc<str>],
+        kind: &str,
+        within: Duration,
+    ) -> Option<ServerId> {
+        let fits = |s: &&Server| {
+            !tried.contains(&s.id.name)
+                && !s.id.out
+                && s.is_near()
+                && s.takes_work(now)
+                && s.has_room_within(now, kind, within)
+        };
+        let from: Vec<&Server> = self.servers.iter().filter(fits).collect();
+        let chosen = self.choose.choose(now, rng, &from)?;
+        from.get(chosen).map(|s| s.id.clone())
+    }
+
     /// Chooses a backend server among those where the request is not taken to be refused for the length
     /// of the queue.
     ///
--- a/crates/cherrystream-core/src/choose/refusals.rs
+++ b/crates/cherrystream-core/src/choose/refusals.rs
@@ -44,9 +44,9 @@
         self.by_kind.clear();
     }
 
-    /// Returns whether an offer would only be turned down.
-    pub(super) fn is_busy(&self, now: Timestamp, kind: &str) -> bool {
-        self.by_kind.get(kind).is_some_and(|believed| now < believed.busy_until)
+    /// Returns how long an offer would only be turned down.
+    pub(super) fn busy_for(&self, now: Timestamp, kind: &str) -> Duration {
+        self.by_kind.get(kind).map_or(Duration::ZERO, |believed| believed.busy_until.since(now))
     }
 
     /// Returns how long a request would only be refused.
--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -29,6 +29,9 @@
 /// Time for which a backend server that refused for good reason is left alone.
 const LEFT_ALONE: Duration = Duration::from_millis(500);
 
+/// Slowness below which a backend server works about as usual, as a factor.
+const AS_USUAL_BELOW: f64 = 1.3;
+
 /// How far away a backend server is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -152,7 +155,7 @@
 
     /// Returns whether an offer there would only be turned down.
     pub fn is_taken_for_busy(&self, now: Timestamp, kind: &str) -> bool {
-        self.refusals.is_busy(now, kind)
+        !self.refusals.busy_for(now, kind).is_zero()
     }
 
     /// Returns how long a request would only be refused there.
@@ -189,6 +192,14 @@
         now >= self.left_alone_until && !(said_closed && lately)
     }
 
+    /// Returns whether a request that waits there has its turn within a time, and is then served as
+    /// usual.
+    pub fn has_room_within(&self, now: Timestamp, kind: &str, within: Duration) -> bool {
+        let full = !self.refusals.full_for(now, kind).is_zero();
+        let as_usual = self.slowness(now) < AS_USUAL_BELOW && self.is_sound(now);
+        !full && as_usual && self.refusals.busy_for(now, kind) <= within
+    }
+
     /// Returns whether it is in the failure domain of this daemon.
     pub fn is_near(&self) -> bool {
         self.id.distance <= Distance::SameDomain
--- a/crates/cherrystream-core/tests/offers.rs
+++ b/crates/cherrystream-core/tests/offers.rs
@@ -122,3 +122,38 @@
     table.server("near").unwrap().on_busy(ms(1_000), "order", Duration::from_millis(40));
     assert_eq!(offered(&mut table, 1_001).as_deref(), Some("far"));
 }
+
+fn waits_near(table: &mut Table, at: u64, within: u64) -> Option<String> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let within = Duration::from_millis(within);
+    let near = table.choose_near_within(ms(at), &mut rng, &[], "order", within);
+    near.map(|id| id.name.to_string())
+}
+
+/// Bytes between failure domains are dear where the operator says so.
+#[test]
+fn a_request_waits_nearby_only_where_its_turn_comes_soon() {
+    let mut table =
+        table(vec![server("near", Distance::SameDomain), server("far", Distance::SameRegion)]);
+    table.server("near").unwrap().on_busy(ms(1_000), "order", Duration::from_millis(40));
+    assert_eq!(waits_near(&mut table, 1_000, 30), None, "its turn comes too late");
+    assert_eq!(waits_near(&mut table, 1_015, 30).as_deref(), Some("near"));
+
+    table.server("near").unwrap().on_full(ms(1_015), "order", Duration::from_millis(20));
+    assert_eq!(waits_near(&mut table, 1_020, 30), None, "the queue is too long");
+    assert_eq!(waits_near(&mut table, 1_040, 30).as_deref(), Some("near"));
+}
+
+#[test]
+fn a_request_does_not_wait_nearby_where_work_is_slow_or_fails() {
+    let mut table = table(vec![server("near", Distance::SameDomain)]);
+    let near = table.server("near").unwrap();
+    near.on_report(ms(1_000), Report { slowness: 400, ..report(10, 1) });
+    near.on_busy(ms(1_000), "order", Duration::from_millis(10));
+    assert_eq!(waits_near(&mut table, 1_001, 30), None);
+    table.server("near").unwrap().on_report(ms(1_010), report(10, 2));
+    assert_eq!(waits_near(&mut table, 1_011, 30).as_deref(), Some("near"));
+    let near = table.server("near").unwrap();
+    (0..5).for_each(|_| near.on_error(ms(1_012)));
+    assert_eq!(waits_near(&mut table, 1_013, 30), None);
+}
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -51,6 +51,8 @@
     }
 }
 
+/// Part of the time that a request may wait for a slot in which it rather waits nearby.
+const NEAR_WAIT_PART: f64 = 0.5;
 /// Second attempts that may be saved up.
 const HEDGES_SAVED: f64 = 2.0;
 
@@ -217,7 +219,17 @@
             true => table.choose_free(now, rng, &avoided, kind),
             false => None,
         };
-        let server = match free {
+        let far = free.as_ref().is_some_and(|server| server.distance >= Distance::SameRegion);
+        let within = self.worth_of_crossing(call);
+        let near = match far {
+            true => table.choose_near_within(now, rng, &call.tried, kind, within),
+            false => None,
+        };
+        let server = match near.or(free) {
+            Some(server) if far && server.distance < Distance::SameRegion => {
+                call.selective_offers = 0;
+                Some(server)
+            }
             Some(server) => Some(server),
             None => {
                 // None has room: it takes what it gets, from one that has not failed it yet.
@@ -237,6 +249,12 @@
         Ok(server)
     }
 
+    /// Returns how long a request rather waits in the own failure domain than leaves it: not for longer
+    /// than that costs, and so that it may still go elsewhere when it has waited in vain.
+    fn worth_of_crossing(&self, call: &Call) -> Duration {
+        self.crossing_cost.min(self.wait_left(call).mul_f64(NEAR_WAIT_PART))
+    }
+
     /// Returns when another attempt may be made; fails with the final refusal.
     fn weigh_retry(&self, call: &mut Call, refused: Refused) -> Result<(), Refused> {
         call.attempts += 1;
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -129,7 +129,7 @@
     }
 
     /// Returns the time that the request may still wait for a slot.
-    fn wait_left(&self, call: &Call) -> Duration {
+    pub(super) fn wait_left(&self, call: &Call) -> Duration {
         let now = self.clock.now();
         let remaining = call.deadline.remaining(now).unwrap_or_default();
         let patience = call.patience.map(|until| until.since(now));
