A replica that starts passes over route tables that a later one replaces; early elections

Ruled out: the disk and the daemons (they got word 10 ms after the log was applied). Tests: backlog::* (the same state, the whole state for daemons that know a passed-over table).

--- a/crates/cherrystream-control/src/backlog.rs
+++ b/crates/cherrystream-control/src/backlog.rs
@@ -1,28 +1,40 @@
 //! Committed entries that wait to be applied.
 //!
 //! A replica that starts, or that is elected, may have hundreds of entries to apply at once. They
-//! are applied a slice at a time, so that heartbeats, votes and answers go out in between.
+//! are applied a slice at a time, so that heartbeats, votes and answers go out in between. Of many route
+//! tables only the one with the highest number is unpacked: it holds whatever the others say.
 
 use cherrystream_core::raft::Position;
 use cherrystream_core::state::{Applied, ControlState};
-use cherrystream_schema::messages::Entry;
+use cherrystream_schema::messages::{Command, Entry};
 use std::collections::VecDeque;
 
+/// Route tables that wait from which on those that do not hold in the end are passed over. Daemons that
+/// hold an earlier table get the whole state afterwards, so this is for long logs only.
+const MANY_TABLES: usize = 8;
+
 /// The entries, in the order of the log.
 #[derive(Debug, Default)]
 pub struct Backlog {
     entries: VecDeque<Entry>,
+    /// Route tables among them.
+    tables: usize,
+    /// Number of the table that holds in the end, where the others are passed over.
+    holds: Option<u64>,
 }
 
 impl Backlog {
     /// Adds entries that were committed.
     pub fn extend(&mut self, committed: Vec<Entry>) {
         self.entries.extend(committed);
+        let numbers = || self.entries.iter().filter_map(table_number);
+        self.tables = numbers().count();
+        self.holds = numbers().max().filter(|_| self.tables >= MANY_TABLES);
     }
 
     /// Forgets all entries: a snapshot of the leader covers them.
     pub fn clear(&mut self) {
-        self.entries.clear();
+        *self = Backlog::default();
     }
 
     /// Returns whether nothing waits.
@@ -38,7 +50,12 @@
         mut on_applied: impl FnMut(Position, Applied),
     ) {
         while let Some(entry) = self.entries.pop_front() {
-            let applied = state.apply(&entry);
+            let number = table_number(&entry);
+            let passed_over = number.is_some_and(|n| self.holds.is_some_and(|holds| n < holds));
+            let applied = match number.filter(|_| passed_over) {
+                Some(number) => state.pass_over(number),
+                None => state.apply(&entry),
+            };
             on_applied(Position { term: entry.term, index: entry.index }, applied);
             if is_over() {
                 return;
@@ -46,3 +63,12 @@
         }
     }
 }
+
+/// Returns the number of the route table that an entry brings; `None` for any other entry, and for one
+/// that does not tell it.
+fn table_number(entry: &Entry) -> Option<u64> {
+    match entry.command {
+        Command::ReplaceRoutes { number, .. } => Some(number).filter(|number| *number > 0),
+        _ => None,
+    }
+}
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -84,11 +84,12 @@
         if order.table.number <= held {
             return OrderAnswer::Held(held);
         }
+        let number = order.table.number;
         let packed = routes::pack(order);
-        let held = match self.replace_routes_here(packed.clone()).await {
+        let held = match self.replace_routes_here(number, packed.clone()).await {
             Err(NoResult::NotLeader { leader: Some(leader) }) => {
                 let replied = match self.client_of(leader).await {
-                    Some(client) => client.replace_routes(packed).await.ok(),
+                    Some(client) => client.replace_routes(number, packed).await.ok(),
                     None => None,
                 };
                 replied.map(|reply| reply.number)
@@ -103,8 +104,8 @@
     /// # Errors
     ///
     /// Fails on a replica that does not lead, or when the outcome is not known.
-    pub async fn replace_routes_here(&self, packed: String) -> Result<u64, NoResult> {
-        match self.handle.propose(Command::ReplaceRoutes { packed }).await? {
+    pub async fn replace_routes_here(&self, number: u64, packed: String) -> Result<u64, NoResult> {
+        match self.handle.propose(Command::ReplaceRoutes { packed, number }).await? {
             Applied::RoutesHeld(number) => Ok(number),
             _ => Err(NoResult::Unknown),
         }
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -253,8 +253,8 @@
         Ok(JoinReply { replica, addresses: addresses.collect() })
     }
 
-    async fn replace_routes(&self, packed: String) -> RpcResult<RouteOrderReply> {
-        let held = self.operators.replace_routes_here(packed).await;
+    async fn replace_routes(&self, number: u64, packed: String) -> RpcResult<RouteOrderReply> {
+        let held = self.operators.replace_routes_here(number, packed).await;
         held.map(|number| RouteOrderReply { number }).map_err(|e| self.no_result(e))
     }
 
--- a/crates/cherrystream-control/src/standby.rs
+++ b/crates/cherrystream-control/src/standby.rs
@@ -90,7 +90,7 @@
         Err(rpc::unavailable(NO_PLACE))
     }
 
-    async fn replace_routes(&self, _packed: String) -> RpcResult<RouteOrderReply> {
+    async fn replace_routes(&self, _number: u64, _packed: String) -> RpcResult<RouteOrderReply> {
         Err(rpc::unavailable(NO_PLACE))
     }
 
--- /dev/null
+++ b/crates/cherrystream-control/tests/backlog.rs
@@ -0,0 +1,123 @@
+//! Committed entries that wait to be applied.
+
+use cherrystream_control::backlog::Backlog;
+use cherrystream_core::routes;
+use cherrystream_core::state::ControlState;
+use cherrystream_core::units::Revision;
+use cherrystream_schema::messages::{
+    Change, Command, Entry, HostRecord, RequestLimits, Route, RouteOrder, RouteTable, RouteTarget,
+    RoutedService,
+};
+
+/// A table of its own routes; `number` comes again in their names.
+fn table(number: u64) -> RouteTable {
+    let route = Route {
+        host: "a.example".into(),
+        path_prefix: format!("/v{number}/"),
+        repeatable: true,
+        timeout_us: 1_000_000,
+        target_us: 400_000,
+        priority: 1,
+        attempts_at_most: 2,
+        targets: vec![RouteTarget { service: "quotes".into(), weight: 1 }],
+    };
+    let limits = RequestLimits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout_us: 3_000_000,
+        idle_timeout_us: 15_000_000,
+    };
+    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
+    RouteTable {
+        number,
+        routes: [(format!("r{number}"), route)].into(),
+        services: [("quotes".to_string(), service)].into(),
+        limits,
+    }
+}
+
+fn tables(first: u64, numbers: &[u64]) -> Vec<Entry> {
+    let entry = |(i, number): (usize, &u64)| {
+        let order = RouteOrder { table: table(*number), source: format!("source {number}") };
+        let command =
+            Command::ReplaceRoutes { packed: routes::pack(&order), number: order.table.number };
+        Entry { term: 1, index: first + i as u64, command }
+    };
+    numbers.iter().enumerate().map(entry).collect()
+}
+
+fn host(index: u64) -> Entry {
+    let record = HostRecord {
+        host: format!("h{index}"),
+        failure_domain: "a".into(),
+        region: "r".into(),
+        peer_address: String::new(),
+        incarnation: 0,
+        leaving: false,
+    };
+    Entry { term: 1, index, command: Command::Share { change: Change::PutHost { record } } }
+}
+
+fn apply_all(state: &mut ControlState, entries: Vec<Entry>) -> usize {
+    let mut backlog = Backlog::default();
+    backlog.extend(entries);
+    let mut applied = 0;
+    backlog.apply(state, || false, |_, _| applied += 1);
+    applied
+}
+
+fn one_by_one(entries: Vec<Entry>) -> ControlState {
+    let mut state = ControlState::default();
+    for entry in entries {
+        apply_all(&mut state, vec![entry]);
+    }
+    state
+}
+
+#[test]
+fn a_slice_applies_one_entry_at_least_and_keeps_the_rest() {
+    let mut backlog = Backlog::default();
+    backlog.extend((1..=5).map(host).collect());
+    let mut state = ControlState::default();
+    let mut seen = Vec::new();
+    backlog.apply(&mut state, || true, |position, _| seen.push(position.index));
+    assert_eq!(seen, [1]);
+    assert!(!backlog.is_empty());
+    backlog.apply(&mut state, || false, |position, _| seen.push(position.index));
+    assert_eq!(seen, [1, 2, 3, 4, 5]);
+    assert!(backlog.is_empty());
+}
+
+#[test]
+fn tables_that_are_passed_over_leave_the_same_state() {
+    let mut entries = tables(1, &[1, 2, 3, 9, 4, 5, 6, 7, 8, 20, 19, 10]);
+    entries.push(host(13));
+    let mut state = ControlState::default();
+    assert_eq!(apply_all(&mut state, entries.clone()), 13);
+    let expected = one_by_one(entries);
+    assert_eq!(state.shared(), expected.shared());
+    assert_eq!(state.route_source(), Some("source 20"));
+    assert_eq!(state.revision(), expected.revision());
+}
+
+/// A daemon that knows one of the tables that were passed over must not keep its routes.
+#[test]
+fn a_daemon_that_holds_a_table_that_was_passed_over_gets_the_whole_state() {
+    let mut state = ControlState::default();
+    apply_all(&mut state, tables(1, &(1..=12).collect::<Vec<_>>()));
+    for held in 1..12 {
+        let update = state.update_since(Revision { term: 1, index: held });
+        assert_eq!(update.full.as_ref(), Some(state.shared()), "holds {held}");
+    }
+    let update = state.update_since(Revision { term: 1, index: 12 });
+    assert!(update.full.is_none() && update.changes.is_empty());
+}
+
+#[test]
+fn a_few_tables_are_told_one_by_one() {
+    let mut state = ControlState::default();
+    apply_all(&mut state, tables(1, &[1, 2, 3]));
+    let update = state.update_since(Revision { term: 1, index: 1 });
+    assert!(update.full.is_none());
+    assert_eq!(update.changes.len(), 2);
+}
--- a/crates/cherrystream-control/tests/driver.rs
+++ b/crates/cherrystream-control/tests/driver.rs
@@ -67,7 +67,7 @@
     handle.standing.clone().wait_for(|s| s.leads).await.unwrap();
     for number in 1..=TABLES {
         let packed = routes::pack(&order(number));
-        handle.propose(Command::ReplaceRoutes { packed }).await.unwrap();
+        handle.propose(Command::ReplaceRoutes { packed, number: 0 }).await.unwrap();
     }
     stop(&handle, thread);
 
--- a/crates/cherrystream-core/src/raft/election.rs
+++ b/crates/cherrystream-core/src/raft/election.rs
@@ -9,7 +9,14 @@
 
 impl Raft {
     pub(super) fn reset_election(&mut self, now: Timestamp) {
-        self.expect_leader(now, self.opts.election);
+        // Until the first leader after a start is heard, nobody is disturbed by early tries: the others
+        // may have come a little later, and missed the last one.
+        let early = self.opts.first_election * 2;
+        let within = match self.heard_leader {
+            None => early.min(self.opts.election),
+            Some(_) => self.opts.election,
+        };
+        self.expect_leader(now, within);
     }
 
     pub(super) fn reset_first_election(&mut self, now: Timestamp) {
--- a/crates/cherrystream-core/src/raft/progress.rs
+++ b/crates/cherrystream-core/src/raft/progress.rs
@@ -61,7 +61,7 @@
 /// Estimates the size of an entry in a message.
 fn entry_bytes(entry: &Entry) -> usize {
     match &entry.command {
-        Command::ReplaceRoutes { packed } => ENTRY_BYTES + packed.len(),
+        Command::ReplaceRoutes { packed, .. } => ENTRY_BYTES + packed.len(),
         _ => ENTRY_BYTES,
     }
 }
--- a/crates/cherrystream-core/src/state.rs
+++ b/crates/cherrystream-core/src/state.rs
@@ -52,6 +52,9 @@
     /// The route table as the operator wrote it.
     #[serde(default)]
     route_source: Option<String>,
+    /// Whether route tables were passed over since the last one that was applied.
+    #[serde(skip)]
+    passed_over: bool,
 }
 
 impl Default for ControlState {
@@ -67,6 +70,7 @@
             requests: BTreeMap::new(),
             ledger: Ledger::default(),
             route_source: None,
+            passed_over: false,
         }
     }
 }
@@ -89,7 +93,7 @@
                 return Applied::Claimed(self.ledger.claim(entry.index, *at_ms, request));
             }
             Command::Release { request } => self.ledger.release(request),
-            Command::ReplaceRoutes { packed } => {
+            Command::ReplaceRoutes { packed, .. } => {
                 // Only what `pack` has written is ever proposed; anything else changes nothing.
                 let held = match routes::unpack(packed) {
                     Some(order) => self.replace_routes(&order, at),
@@ -150,6 +154,13 @@
         Ok(at)
     }
 
+    /// Passes over a route table that an entry behind it with a higher number replaces. What daemons hold
+    /// that know of it is not known here, so from then on they get the whole state.
+    pub fn pass_over(&mut self, number: u64) -> Applied {
+        self.passed_over = true;
+        Applied::RoutesHeld(number)
+    }
+
     /// The table with the highest number holds; another one changes nothing.
     fn replace_routes(&mut self, order: &RouteOrder, at: Revision) -> u64 {
         let held = self.route_number();
@@ -158,6 +169,10 @@
         }
         let change = routes::difference(self.shared.routes.as_ref(), &order.table);
         self.share(&change, at);
+        if std::mem::take(&mut self.passed_over) {
+            self.changes.clear();
+            self.changes_after = at;
+        }
         self.route_source = Some(order.source.clone());
         order.table.number
     }
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -226,7 +226,7 @@
     for _ in 0..30 {
         let raft = world.replicas[i].raft.as_mut().unwrap();
         let packed = "x".repeat(TABLE_BYTES);
-        raft.propose(Command::ReplaceRoutes { packed }).unwrap();
+        raft.propose(Command::ReplaceRoutes { packed, number: 0 }).unwrap();
         raft.flush(world.now);
         world.work_off(i, None);
         run(&mut world, 2);
--- a/crates/cherrystream-core/tests/routes.rs
+++ b/crates/cherrystream-core/tests/routes.rs
@@ -132,7 +132,8 @@
     let mut put = |number: u64, text: &str| {
         index += 1;
         let order = RouteOrder { table: table(number, &[]), source: text.into() };
-        let command = Command::ReplaceRoutes { packed: routes::pack(&order) };
+        let command =
+            Command::ReplaceRoutes { packed: routes::pack(&order), number: order.table.number };
         let applied = state.apply(&Entry { term: 1, index, command });
         (applied, state.route_source().map(str::to_string))
     };
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -70,7 +70,7 @@
 
     /// Replaces the route table by a packed order.
     #[method(name = "replace_routes")]
-    async fn replace_routes(&self, packed: String) -> RpcResult<RouteOrderReply>;
+    async fn replace_routes(&self, number: u64, packed: String) -> RpcResult<RouteOrderReply>;
 
     /// Records a change of the shared state that no operator made.
     #[method(name = "share")]
