--- a/crates/cherrystream-control/tests/backlog.rs
+++ b/crates/cherrystream-control/tests/backlog.rs
@@ -1,44 +1,16 @@
 //! Committed entries that wait to be applied.
 
+mod support;
+
 use cherrystream_control::backlog::Backlog;
 use cherrystream_core::routes;
 use cherrystream_core::state::ControlState;
 use cherrystream_core::units::Revision;
-use cherrystream_schema::messages::{
-    Change, Command, Entry, HostRecord, RequestLimits, Route, RouteOrder, RouteTable, RouteTarget,
-    RoutedService,
-};
-
-/// A table of its own routes; `number` comes again in their names.
-fn table(number: u64) -> RouteTable {
-    let route = Route {
-        host: "a.example".into(),
-        path_prefix: format!("/v{number}/"),
-        repeatable: true,
-        timeout_us: 1_000_000,
-        target_us: 400_000,
-        priority: 1,
-        attempts_at_most: 2,
-        targets: vec![RouteTarget { service: "quotes".into(), weight: 1 }],
-    };
-    let limits = RequestLimits {
-        head_bytes: 16_384,
-        body_bytes: 1 << 20,
-        head_timeout_us: 3_000_000,
-        idle_timeout_us: 15_000_000,
-    };
-    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
-    RouteTable {
-        number,
-        routes: [(format!("r{number}"), route)].into(),
-        services: [("quotes".to_string(), service)].into(),
-        limits,
-    }
-}
+use cherrystream_schema::messages::{Change, Command, Entry, HostRecord};
 
 fn tables(first: u64, numbers: &[u64]) -> Vec<Entry> {
     let entry = |(i, number): (usize, &u64)| {
-        let order = RouteOrder { table: table(*number), source: format!("source {number}") };
+        let order = support::order(*number, 1);
         let command =
             Command::ReplaceRoutes { packed: routes::pack(&order), number: order.table.number };
         Entry { term: 1, index: first + i as u64, command }
--- a/crates/cherrystream-control/tests/driver.rs
+++ b/crates/cherrystream-control/tests/driver.rs
@@ -1,5 +1,7 @@
 //! The thread that drives the replicated log, on a real folder.
 
+mod support;
+
 use cherrystream_control::driver;
 use cherrystream_control::folder::DiskFolder;
 use cherrystream_control::handle::Handle;
@@ -7,9 +9,7 @@
 use cherrystream_control::peers::Peers;
 use cherrystream_core::raft::Options;
 use cherrystream_core::routes;
-use cherrystream_schema::messages::{
-    Command, RequestLimits, Route, RouteOrder, RouteTable, RouteTarget, RoutedService,
-};
+use cherrystream_schema::messages::Command;
 use std::path::Path;
 use std::time::Duration;
 
@@ -18,33 +18,6 @@
 /// Routes of each table.
 const ROUTES: u64 = 300;
 
-fn order(number: u64) -> RouteOrder {
-    let route = |i: u64| Route {
-        host: format!("h{i}.example"),
-        path_prefix: format!("/v{number}/"),
-        repeatable: true,
-        timeout_us: 1_000_000,
-        target_us: 400_000,
-        priority: 1,
-        attempts_at_most: 2,
-        targets: vec![RouteTarget { service: "quotes".into(), weight: 1 }],
-    };
-    let limits = RequestLimits {
-        head_bytes: 16_384,
-        body_bytes: 1 << 20,
-        head_timeout_us: 3_000_000,
-        idle_timeout_us: 15_000_000,
-    };
-    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
-    let table = RouteTable {
-        number,
-        routes: (0..ROUTES).map(|i| (format!("r{i}"), route(i))).collect(),
-        services: [("quotes".to_string(), service)].into(),
-        limits,
-    };
-    RouteOrder { table, source: String::new() }
-}
-
 fn open(folder: &Path) -> (Handle, std::thread::JoinHandle<()>) {
     let folder = DiskFolder::try_new(folder.to_str().unwrap()).unwrap();
     let first_election = Duration::from_millis(1);
@@ -66,7 +39,7 @@
     let (handle, thread) = open(folder.path());
     handle.standing.clone().wait_for(|s| s.leads).await.unwrap();
     for number in 1..=TABLES {
-        let packed = routes::pack(&order(number));
+        let packed = routes::pack(&support::order(number, ROUTES));
         handle.propose(Command::ReplaceRoutes { packed, number: 0 }).await.unwrap();
     }
     stop(&handle, thread);
--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -66,13 +66,8 @@
         tried: &[Arc<str>],
         kind: &str,
     ) -> Option<ServerId> {
-        let is_free = |s: &&Server| {
-            !tried.contains(&s.id.name)
-                && !s.id.out
-                && !s.is_taken_for_busy(now, kind)
-                && s.takes_work(now)
-        };
-        let free: Vec<&Server> = self.servers.iter().filter(is_free).collect();
+        let is_free = |s: &Server| !s.is_taken_for_busy(now, kind);
+        let free = takers(&self.servers, now, tried, is_free);
         let near: Vec<&Server> =
             free.iter().copied().filter(|s| s.is_near() && s.is_sound(now)).collect();
         let from = if near.is_empty() { free } else { near };
@@ -90,14 +85,8 @@
         kind: &str,
         within: Duration,
     ) -> Option<ServerId> {
-        let fits = |s: &&Server| {
-            !tried.contains(&s.id.name)
-                && !s.id.out
-                && s.is_near()
-                && s.takes_work(now)
-                && s.has_room_within(now, kind, within)
-        };
-        let from: Vec<&Server> = self.servers.iter().filter(fits).collect();
+        let fits = |s: &Server| s.is_near() && s.has_room_within(now, kind, within);
+        let from = takers(&self.servers, now, tried, fits);
         let chosen = self.choose.choose(now, rng, &from)?;
         from.get(chosen).map(|s| s.id.clone())
     }
@@ -136,3 +125,15 @@
         self.servers.iter_mut().find(|s| &*s.id.name == name)
     }
 }
+
+/// Returns the backend servers that take work, were not tried, and fit.
+fn takers<'a>(
+    servers: &'a [Server],
+    now: Timestamp,
+    tried: &[Arc<str>],
+    fits: impl Fn(&Server) -> bool,
+) -> Vec<&'a Server> {
+    let untried = |s: &Server| !tried.contains(&s.id.name) && !s.id.out;
+    let takes = |s: &&Server| untried(s) && s.takes_work(now) && fits(s);
+    servers.iter().filter(takes).collect()
+}
--- a/crates/cherrystream-core/src/raft/leading.rs
+++ b/crates/cherrystream-core/src/raft/leading.rs
@@ -1,6 +1,5 @@
 //! What a leader does: proposals, replication, commitment, reads, handing over, new disks.
 
-use super::disks::VACANT;
 use super::joining::Candidate;
 use super::progress::{ENTRIES_ON_WAY, Progress, RESEND_AFTER, end_of_message};
 use super::{NotLeader, Position, Raft, ReadyRead, Role};
@@ -8,9 +7,6 @@
 use cherrystream_schema::messages::{Command, Entry, RaftBody, Snapshot};
 use std::collections::BTreeMap;
 
-/// Committed entries that a newcomer may still lack when its disk is named.
-const CATCH_UP_SLACK: u64 = 8;
-
 /// State of a leader.
 #[derive(Debug, Default)]
 pub(super) struct Leading {
@@ -22,7 +18,7 @@
     reads: Vec<PendingRead>,
     transfer_until: Option<Timestamp>,
     /// Index of an uncommitted disk replacement.
-    replacing: Option<u64>,
+    pub(super) replacing: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -61,7 +57,7 @@
         self.broadcast(now);
     }
 
-    fn append_own(&mut self, command: Command) -> Position {
+    pub(super) fn append_own(&mut self, command: Command) -> Position {
         let position = Position { term: self.hard.term, index: self.log.last().index + 1 };
         self.push_entry(Entry { term: position.term, index: position.index, command });
         position
@@ -336,62 +332,7 @@
         }
     }
 
-    /// Lets a replica vote with its new disk once it holds all that is committed. Its own
-    /// acknowledgements do not count for this entry: they count from its commitment on.
-    fn replace_disk_if_caught_up(&mut self, now: Timestamp, ack: &Ack) {
-        if self.is_member(ack.from, &ack.disk) || !self.commit_is_of_this_term() {
-            return;
-        }
-        let commit = self.commit;
-        let Role::Leader(leading) = &self.role else { return };
-        // Under steady load the last few entries are always on their way. In a group of three the
-        // disk must hold all: the replica votes before the entry is known to be committed.
-        let slack = if self.is_group_of_three() { 0 } else { CATCH_UP_SLACK };
-        let held = |p: &Progress| p.match_index + slack >= commit;
-        let caught_up = leading.progress.get(&ack.from).is_some_and(held);
-        if !caught_up || leading.replacing.is_some() {
-            return;
-        }
-        let by = self.opts.id;
-        let vacate = !self.is_group_of_three() && !self.is_vacant(ack.from);
-        let address = leading.candidates.get(&ack.from).and_then(|c| c.address_of_disk(&ack.disk));
-        let replica = ack.from;
-        // Others must be able to find it.
-        if address.is_none() && !vacate && self.needs_addresses() {
-            return;
-        }
-        if vacate && !self.can_do_without(now, replica) {
-            return;
-        }
-        let command = match vacate {
-            // The next acknowledgement after the commitment names the new disk.
-            true => Command::ReplaceDisk { replica, disk: VACANT.into(), by, address: None },
-            false => Command::ReplaceDisk { replica, disk: ack.disk.clone(), by, address },
-        };
-        let position = self.append_own(command);
-        if let Role::Leader(leading) = &mut self.role {
-            leading.replacing = Some(position.index);
-        }
-    }
-
-    /// Returns whether a quorum is left, and heard, when a place is vacated: the entry that fills the
-    /// place again must be committed by it.
-    fn can_do_without(&self, now: Timestamp, id: u64) -> bool {
-        let Role::Leader(leading) = &self.role else { return false };
-        let lately = |p: &Progress| now.since(p.heard) < self.opts.election;
-        let others = leading
-            .progress
-            .iter()
-            .filter(|(other, p)| **other != id && self.counts(**other, p) && lately(p));
-        others.count() + usize::from(self.is_voter()) >= self.quorum()
-    }
-
-    /// Returns whether the log must tell where each replica is.
-    fn needs_addresses(&self) -> bool {
-        !self.opts.addresses.is_empty() && !self.is_group_of_three()
-    }
-
-    fn commit_is_of_this_term(&self) -> bool {
+    pub(super) fn commit_is_of_this_term(&self) -> bool {
         self.log.term_at(self.commit) == Some(self.hard.term)
     }
 
--- a/crates/cherrystream-core/src/raft/mod.rs
+++ b/crates/cherrystream-core/src/raft/mod.rs
@@ -13,6 +13,7 @@
 mod leading;
 mod log;
 mod progress;
+mod replacing;
 
 pub use joining::Newcomer;
 pub use leading::ReplicaView;
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -11,15 +11,7 @@
 /// Lets time pass and delivers everything.
 fn run(world: &mut World, rounds: usize) {
     for _ in 0..rounds {
-        world.tick_all(50_000);
-        for _ in 0..4 {
-            for msg in std::mem::take(&mut world.bag) {
-                world.bag.push(msg);
-                let last = world.bag.len() - 1;
-                world.deliver(last, false);
-            }
-        }
-        world.check();
+        world.pass_calmly();
     }
 }
 
--- a/crates/cherrystream-core/tests/raft_random.rs
+++ b/crates/cherrystream-core/tests/raft_random.rs
@@ -111,16 +111,8 @@
             world.start(i);
         }
     }
-    world.tick_all(50_000);
     world.ask_for_places();
-    for _ in 0..4 {
-        for msg in std::mem::take(&mut world.bag) {
-            world.bag.push(msg);
-            let last = world.bag.len() - 1;
-            world.deliver(last, false);
-        }
-    }
-    world.check();
+    world.pass_calmly();
 }
 
 fn all_vote(world: &World) -> bool {
--- a/crates/cherrystream-core/tests/raft_world/mod.rs
+++ b/crates/cherrystream-core/tests/raft_world/mod.rs
@@ -1,6 +1,8 @@
 //! Replicas with their disks, and a bag of messages; the safety conditions are looked at by
 //! [`World::check`].
 
+mod checks;
+
 use cherrystream_core::raft::{Newcomer, Options, Raft, Restored};
 use cherrystream_core::units::Timestamp;
 use cherrystream_schema::messages::{
@@ -289,39 +291,17 @@
         replica.disk.snapshot = Some(snapshot);
     }
 
-    pub fn check(&mut self) {
-        for replica in &self.replicas {
-            let Some(raft) = &replica.raft else { continue };
-            if raft.is_leader() {
-                let new = !self.leaders.contains_key(&raft.term());
-                let first = *self.leaders.entry(raft.term()).or_insert(raft.id());
-                assert_eq!(first, raft.id(), "two leaders in term {}", raft.term());
-                if new {
-                    check_complete(raft, &self.committed);
-                }
-            }
-            // A voter has its past: its own log, or the snapshot before it, names its disk.
-            if raft.is_voter() {
-                assert!(is_named(raft, &replica.disk.id), "a voter without its past");
-            }
-        }
-        self.check_matching();
-    }
-
-    /// If two logs hold an entry with the same index and term, they agree up to it.
-    pub fn check_matching(&self) {
-        let running: Vec<&Raft> = self.replicas.iter().filter_map(|r| r.raft.as_ref()).collect();
-        let pairs = (0..running.len()).flat_map(|a| (0..a).map(move |b| (a, b)));
-        for (a, b) in pairs {
-            let (a, b) = (running[a], running[b]);
-            let top = a.log().last().index.min(b.log().last().index);
-            let mut agreed = false;
-            for index in (1..=top).rev() {
-                let (Some(x), Some(y)) = (a.log().get(index), b.log().get(index)) else { break };
-                agreed = agreed || x.term == y.term;
-                assert!(!agreed || x == y, "logs differ at {index} below a matching entry");
+    /// Lets some time pass and delivers everything.
+    pub fn pass_calmly(&mut self) {
+        self.tick_all(50_000);
+        for _ in 0..4 {
+            for msg in std::mem::take(&mut self.bag) {
+                self.bag.push(msg);
+                let last = self.bag.len() - 1;
+                self.deliver(last, false);
             }
         }
+        self.check();
     }
 
     pub fn propose(&mut self, i: usize) {
@@ -421,24 +401,3 @@
         founded > self.places / 2 && most >= self.places / 2 + 2
     }
 }
-
-fn is_named(raft: &Raft, disk: &str) -> bool {
-    let named = |members: &Members| members.disks.values().any(|d| d == disk);
-    let entries = raft.log().range(raft.log().base().index + 1, raft.log().last().index);
-    let names = |e: &Entry| match &e.command {
-        Command::ReplaceDisk { disk: new, .. } => new == disk,
-        Command::Found { members } => named(members),
-        _ => false,
-    };
-    raft.members().is_some_and(named) || entries.iter().any(names)
-}
-
-/// A leader lacks no entry that was committed in its term or an earlier one.
-fn check_complete(raft: &Raft, committed: &BTreeMap<u64, Committed>) {
-    for (index, entry) in committed.iter().filter(|(_, c)| c.term <= raft.term()) {
-        match raft.log().get(*index) {
-            Some(found) => assert_eq!(name(found), entry.name, "the leader lacks entry {index}"),
-            None => assert!(*index <= raft.log().base().index, "the leader lost entry {index}"),
-        }
-    }
-}
--- /dev/null
+++ b/crates/cherrystream-daemon/src/outbound/choosing.rs
@@ -0,0 +1,69 @@
+//! Which backend server a request goes to next.
+
+use super::request::Call;
+use super::{Choosing, Outbound};
+use crate::refusal::Refused;
+use cherrystream_core::choose::{Distance, ServerId};
+use cherrystream_core::reasons::Reason;
+use std::time::Duration;
+
+/// Part of the time that a request may wait for a slot in which it rather waits nearby.
+const NEAR_WAIT_PART: f64 = 0.5;
+
+impl Outbound {
+    /// Chooses the backend server for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the final refusal when there is none to go to.
+    pub(super) fn choose(&self, call: &mut Call) -> Result<ServerId, Refused> {
+        let table = self.table(&call.service).ok_or(Refused::new(Reason::NoSuchService))?;
+        let now = self.clock.now();
+        if call.deadline.remaining(now).is_none() {
+            return Err(Refused::new(Reason::DeadlineBeforeStart));
+        }
+        let mut choosing = table.lock();
+        let Choosing { table, rng, .. } = &mut *choosing;
+        // When all were tried, the first may have a free slot by now.
+        let avoided: Vec<_> = call.tried.iter().chain(&call.busy).cloned().collect();
+        let kind = call.treatment.kind.as_str();
+        let free = match call.is_selective() {
+            true => table.choose_free(now, rng, &avoided, kind),
+            false => None,
+        };
+        let far = free.as_ref().is_some_and(|server| server.distance >= Distance::SameRegion);
+        let within = self.worth_of_crossing(call);
+        let near = match far {
+            true => table.choose_near_within(now, rng, &call.tried, kind, within),
+            false => None,
+        };
+        let server = match near.or(free) {
+            Some(server) if far && server.distance < Distance::SameRegion => {
+                call.selective_offers = 0;
+                Some(server)
+            }
+            Some(server) => Some(server),
+            None => {
+                // None has room: it takes what it gets, from one that has not failed it yet.
+                call.selective_offers = 0;
+                let open = table.choose_open(now, rng, &call.tried, kind);
+                let open = open.map_err(|retry_after| Refused {
+                    retry_after,
+                    ..Refused::new(Reason::QueueTooLong)
+                })?;
+                open.or_else(|| table.choose(now, rng, &[]))
+            }
+        };
+        let server = server.ok_or(Refused::new(Reason::NoBackendServer))?;
+        if !call.is_selective() {
+            call.tried.push(server.name.clone());
+        }
+        Ok(server)
+    }
+
+    /// Returns how long a request rather waits in the own failure domain than leaves it: not for longer
+    /// than that costs, and so that it may still go elsewhere when it has waited in vain.
+    fn worth_of_crossing(&self, call: &Call) -> Duration {
+        self.crossing_cost.min(self.wait_left(call).mul_f64(NEAR_WAIT_PART))
+    }
+}
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -1,5 +1,6 @@
 //! The outbound: takes callers' requests, chooses backend servers and sends the requests on.
 
+mod choosing;
 mod once;
 mod request;
 mod send;
@@ -51,8 +52,6 @@
     }
 }
 
-/// Part of the time that a request may wait for a slot in which it rather waits nearby.
-const NEAR_WAIT_PART: f64 = 0.5;
 /// Second attempts that may be saved up.
 const HEDGES_SAVED: f64 = 2.0;
 
@@ -204,57 +203,6 @@
         self.attempt(call, held, &server, None).await.ok()
     }
 
-    fn choose(&self, call: &mut Call) -> Result<ServerId, Refused> {
-        let table = self.table(&call.service).ok_or(Refused::new(Reason::NoSuchService))?;
-        let now = self.clock.now();
-        if call.deadline.remaining(now).is_none() {
-            return Err(Refused::new(Reason::DeadlineBeforeStart));
-        }
-        let mut choosing = table.lock();
-        let Choosing { table, rng, .. } = &mut *choosing;
-        // When all were tried, the first may have a free slot by now.
-        let avoided: Vec<_> = call.tried.iter().chain(&call.busy).cloned().collect();
-        let kind = call.treatment.kind.as_str();
-        let free = match call.is_selective() {
-            true => table.choose_free(now, rng, &avoided, kind),
-            false => None,
-        };
-        let far = free.as_ref().is_some_and(|server| server.distance >= Distance::SameRegion);
-        let within = self.worth_of_crossing(call);
-        let near = match far {
-            true => table.choose_near_within(now, rng, &call.tried, kind, within),
-            false => None,
-        };
-        let server = match near.or(free) {
-            Some(server) if far && server.distance < Distance::SameRegion => {
-                call.selective_offers = 0;
-                Some(server)
-            }
-            Some(server) => Some(server),
-            None => {
-                // None has room: it takes what it gets, from one that has not failed it yet.
-                call.selective_offers = 0;
-                let open = table.choose_open(now, rng, &call.tried, kind);
-                let open = open.map_err(|retry_after| Refused {
-                    retry_after,
-                    ..Refused::new(Reason::QueueTooLong)
-                })?;
-                open.or_else(|| table.choose(now, rng, &[]))
-            }
-        };
-        let server = server.ok_or(Refused::new(Reason::NoBackendServer))?;
-        if !call.is_selective() {
-            call.tried.push(server.name.clone());
-        }
-        Ok(server)
-    }
-
-    /// Returns how long a request rather waits in the own failure domain than leaves it: not for longer
-    /// than that costs, and so that it may still go elsewhere when it has waited in vain.
-    fn worth_of_crossing(&self, call: &Call) -> Duration {
-        self.crossing_cost.min(self.wait_left(call).mul_f64(NEAR_WAIT_PART))
-    }
-
     /// Returns when another attempt may be made; fails with the final refusal.
     fn weigh_retry(&self, call: &mut Call, refused: Refused) -> Result<(), Refused> {
         call.attempts += 1;
