A long body travels only to the backend server that has kept a slot for it

Change: an outbound asks the inbound for a slot first when a body is longer than 1 KiB, or can be sent once only. Until the slot is granted nothing of the request has left the host, so every failure on the way is proof that it did not run. Bodies that are not held can now be offered to several doors too.

Also: a daemon could miss its first revision when that came before the task that puts revisions in force had begun to watch.

--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod plan;
 pub mod raft;
 pub mod reasons;
+pub mod reservations;
 pub mod reserve;
 pub mod retry;
 pub mod routes;
--- a/crates/cherrystream-daemon/src/door.rs
+++ b/crates/cherrystream-daemon/src/door.rs
@@ -222,6 +222,11 @@
 }
 
 impl Permit {
+    /// Returns whether this is a slot behind a door.
+    pub fn is_for(&self, door: &Arc<Door>) -> bool {
+        Arc::ptr_eq(&self.door, door)
+    }
+
     /// Notes that the backend server answered in full.
     pub fn answered(mut self) {
         self.answered = true;
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -64,6 +64,8 @@
 pub enum Op {
     /// To pass a request to a backend server.
     Call,
+    /// To keep a slot for a request that follows; see [`cherrystream_core::reservations`].
+    Reserve,
     /// To tell what became of an attempt, and forbid it if it has not begun.
     Fence,
     /// For the shared state that it holds.
@@ -75,6 +77,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Op::Call => "call",
+            Op::Reserve => "reserve",
             Op::Fence => "fence",
             Op::Fetch => "fetch",
         }
@@ -83,7 +86,7 @@
     /// Reads the value of the header.
     pub fn read(headers: &HeaderMap) -> Option<Op> {
         let text = text(headers, &OP)?;
-        [Op::Call, Op::Fence, Op::Fetch].into_iter().find(|op| op.as_str() == text)
+        [Op::Call, Op::Reserve, Op::Fence, Op::Fetch].into_iter().find(|op| op.as_str() == text)
     }
 }
 
--- a/crates/cherrystream-daemon/src/hop.rs
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -6,6 +6,7 @@
 use crate::headers::{self, Op};
 use crate::refusal::Refused;
 use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_core::reservations::Reservation;
 use cherrystream_net::body::{self, Body};
 use cherrystream_schema::messages::Report;
 use http::{HeaderMap, Response};
@@ -27,6 +28,8 @@
     pub allowance: u32,
     /// Whether it is to be let in only where it is served well.
     pub selective: bool,
+    /// Slot that was reserved for it.
+    pub reservation: Option<Reservation>,
 }
 
 /// What goes with an answer, as the inbound says it.
@@ -38,6 +41,8 @@
     pub report: Option<Report>,
     /// Milliseconds after which to come back, on a refusal.
     pub retry_after_ms: u32,
+    /// Slot that is kept for the call, if it asked for one.
+    pub reservation: Option<Reservation>,
 }
 
 /// What does not differ between the calls of one caller to one backend server.
@@ -54,8 +59,8 @@
 }
 
 /// Writes a call's part of the headers.
-pub fn write_call(map: &mut HeaderMap, aim: &Aim<'_>, head: &CallHead) {
-    headers::set_static(map, headers::OP, Op::Call.as_str());
+pub fn write_call(map: &mut HeaderMap, op: Op, aim: &Aim<'_>, head: &CallHead) {
+    headers::set_static(map, headers::OP, op.as_str());
     headers::set(map, headers::SERVICE, aim.service);
     headers::set(map, headers::SERVER, aim.server);
     headers::set(map, headers::KIND, aim.kind);
@@ -83,24 +88,43 @@
     result: Result<Response<Body>, Refused>,
     report: Option<Report>,
 ) -> Response<Body> {
-    let mut retry_after_ms = 0;
+    let mut head = AnswerHead { call, report, retry_after_ms: 0, reservation: None };
     let mut res = match result {
         Ok(mut res) => {
             headers::set_static(res.headers_mut(), headers::OUTCOME, Outcome::Answered.as_str());
             res
         }
-        Err(refused) => {
-            retry_after_ms = u32::try_from(refused.retry_after.as_millis()).unwrap_or(u32::MAX);
-            let mut res = Response::new(body::empty());
-            headers::set_static(res.headers_mut(), headers::REASON, refused.reason.as_str());
-            res
+        Err(refused) => refusal(refused, &mut head),
+    };
+    headers::set_compact(res.headers_mut(), headers::HOP, &head);
+    res
+}
+
+/// Writes the slot that is kept for a call, or why there is none.
+pub fn write_reservation(
+    call: String,
+    result: Result<Reservation, Refused>,
+    report: Option<Report>,
+) -> Response<Body> {
+    let mut head = AnswerHead { call, report, retry_after_ms: 0, reservation: None };
+    let mut res = match result {
+        Ok(reservation) => {
+            head.reservation = Some(reservation);
+            Response::new(body::empty())
         }
+        Err(refused) => refusal(refused, &mut head),
     };
-    let head = AnswerHead { call, report, retry_after_ms };
     headers::set_compact(res.headers_mut(), headers::HOP, &head);
     res
 }
 
+fn refusal(refused: Refused, head: &mut AnswerHead) -> Response<Body> {
+    head.retry_after_ms = u32::try_from(refused.retry_after.as_millis()).unwrap_or(u32::MAX);
+    let mut res = Response::new(body::empty());
+    headers::set_static(res.headers_mut(), headers::REASON, refused.reason.as_str());
+    res
+}
+
 /// Reads what goes with an answer.
 pub fn read_answer(map: &HeaderMap) -> Option<AnswerHead> {
     headers::compact(map, &headers::HOP)
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -14,6 +14,7 @@
 use cherrystream_core::kinds;
 use cherrystream_core::measuring::Check;
 use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_core::reservations::{Reservation, Reservations};
 use cherrystream_core::shared;
 use cherrystream_net::body::{self, Body, Ending, Start, Watched};
 use cherrystream_net::clock::Clock;
@@ -49,6 +50,8 @@
     pub wait_at_most: Duration,
     /// Whether it is to be let in only where it is served well.
     pub selective: bool,
+    /// Slot that was reserved for it.
+    pub reservation: Option<Reservation>,
     /// Identifier of the call.
     pub call: String,
     /// Key and claim, if the request may not be repeated.
@@ -65,6 +68,14 @@
     pub report: Option<Report>,
 }
 
+/// Whether a slot is kept for a call, with a report on the backend server.
+pub struct Reserved {
+    /// The slot, or why there is none.
+    pub result: Result<Reservation, Refused>,
+    /// Report on the backend server, if it is here.
+    pub report: Option<Report>,
+}
+
 /// An answer that is held for resends.
 #[derive(Debug)]
 pub struct HeldAnswer {
@@ -95,6 +106,8 @@
     pub doors: Arc<Doors>,
     pub(crate) interface: Arc<dyn CallInterface>,
     pub(crate) attempts: Mutex<Attempts<HeldAnswer>>,
+    /// Slots kept for calls whose bodies follow. Taken before a door's admission, never with it.
+    pub(crate) reservations: Mutex<Reservations<Permit>>,
     pub(crate) held: Arc<HeldCell>,
     pub(crate) host: Arc<str>,
     pub(crate) phases: Phases,
@@ -117,6 +130,38 @@
         InboundAnswer { result, report: Some(door.report(self.incarnation)) }
     }
 
+    /// Keeps a slot for a call whose body is not here yet.
+    pub async fn reserve(&self, call: InboundCall) -> Reserved {
+        let Some(door) = self.doors.get(&call.service, &call.server) else {
+            return Reserved { result: Err(self.refuse(Reason::NotHere)), report: None };
+        };
+        let result = match self.check_leaving() {
+            Some(reason) => Err(self.refuse(reason)),
+            None => self.enter(&door, &call).await.map(|permit| self.keep(permit)),
+        };
+        Reserved { result, report: Some(door.report(self.incarnation)) }
+    }
+
+    fn keep(&self, permit: Permit) -> Reservation {
+        let name = Reservation(rand::random());
+        self.reservations.lock().keep(self.clock.now(), name, permit);
+        name
+    }
+
+    /// Returns the slot that was kept for a call at a door.
+    fn reserved(&self, door: &Arc<Door>, call: &InboundCall) -> Option<Permit> {
+        let name = call.reservation?;
+        let permit = self.reservations.lock().take(self.clock.now(), name)?;
+        permit.is_for(door).then_some(permit)
+    }
+
+    /// Frees the slots that were kept in vain.
+    pub fn expire_reservations(&self) {
+        // A permit goes back through its door's lock, so it is dropped after this one is released.
+        let late = self.reservations.lock().expire(self.clock.now());
+        self.metrics.reservations_expired.inc_by(late.len() as u64);
+    }
+
     /// Returns the path of the health endpoint of a service that routes name.
     pub fn health_path(&self, service: &str) -> Option<String> {
         let shared = self.held.get().shared;
@@ -150,7 +195,10 @@
         call: InboundCall,
     ) -> Result<Response<Body>, Refused> {
         let Some((key, claimed)) = call.claimed.clone() else {
-            let permit = self.enter(door, &call).await?;
+            let permit = match self.reserved(door, &call) {
+                Some(permit) => permit,
+                None => self.enter(door, &call).await?,
+            };
             return self.exchange(door, permit, call).await;
         };
         self.attempts.lock().begin(&key, claimed).map_err(|reason| self.refuse(reason))?;
--- a/crates/cherrystream-daemon/src/measure.rs
+++ b/crates/cherrystream-daemon/src/measure.rs
@@ -39,6 +39,7 @@
     loop {
         interval.tick().await;
         let now = m.clock.now();
+        inbound.expire_reservations();
         if let Some(door) = inbound.doors.instance() {
             door.tick();
             if door.wants_load() {
--- a/crates/cherrystream-daemon/src/metrics.rs
+++ b/crates/cherrystream-daemon/src/metrics.rs
@@ -80,6 +80,8 @@
     pub control_errors: Counter,
     /// Attempts of unrepeatable requests remembered.
     pub attempts_known: Gauge<i64, AtomicI64>,
+    /// Slots that were kept for a call in vain.
+    pub reservations_expired: Counter,
     /// Peer requests without the shared key.
     pub wrong_keys: Counter,
 }
@@ -106,6 +108,7 @@
             updates: Family::default(),
             control_errors: Counter::default(),
             attempts_known: Gauge::default(),
+            reservations_expired: Counter::default(),
             wrong_keys: Counter::default(),
         }
     }
@@ -138,6 +141,8 @@
         r.register("updates", "Changes of configuration taken", self.updates.clone());
         r.register("control_errors", "Heartbeats not answered", self.control_errors.clone());
         r.register("attempts_known", "Attempts remembered", self.attempts_known.clone());
+        let expired = self.reservations_expired.clone();
+        r.register("reservations_expired", "Slots kept for a call in vain", expired);
         r.register("wrong_keys", "Peer requests without the key", self.wrong_keys.clone());
     }
 }
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -3,6 +3,7 @@
 mod choosing;
 mod once;
 mod request;
+mod reserving;
 mod send;
 
 use crate::headers;
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -23,6 +23,8 @@
 
 /// Bodies up to this size are held whole, so that the request can be sent again.
 const HELD_BYTES: usize = 64 * 1024;
+/// Bodies above this size travel only to a backend server that has kept a slot for them.
+const RESERVED_FROM_BYTES: usize = 1024;
 /// Largest body of a request that may not be repeated: it is held until the claim is recorded.
 const ONCE_BYTES: usize = 1024 * 1024;
 /// Bytes of an unneeded body that are read at most.
@@ -153,6 +155,15 @@
         !matches!(self, Replay::Stream(None))
     }
 
+    /// Returns whether a slot is asked for before the body is sent: it is long, or can be sent once
+    /// only and must not be used up by an offer.
+    pub(super) fn asks_first(&self) -> bool {
+        match self {
+            Replay::Whole(bytes) => bytes.len() > RESERVED_FROM_BYTES,
+            Replay::Stream(body) => body.is_some(),
+        }
+    }
+
     /// Takes a body that can be sent once only, if nobody has.
     pub(super) fn take_stream(&mut self) -> Option<Body> {
         match self {
@@ -198,9 +209,7 @@
         .filter(|r| r.route.repeatable)
         .map(|r| Duration::from_micros(r.route.target_us).mul_f64(HEDGE_PART));
     let uri = target(&parts)?;
-    // A body that can be sent once only must not be used up by an offer.
-    let held = matches!(body, Replay::Whole(_));
-    let selective_offers = if route.is_some() && held { SELECTIVE_OFFERS } else { 0 };
+    let selective_offers = if route.is_some() { SELECTIVE_OFFERS } else { 0 };
     Ok(Call {
         id: head.id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>())),
         service,
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -2,7 +2,7 @@
 
 use super::request::Call;
 use super::{Outbound, Tried};
-use crate::headers;
+use crate::headers::{self, Op};
 use crate::held::Held;
 use crate::hop;
 use crate::inbound::{HELD_BYTES, InboundCall};
@@ -12,6 +12,7 @@
 use cherrystream_core::attempts::{Claimed, RequestKey};
 use cherrystream_core::choose::{Sent, Server, ServerId};
 use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_core::reservations::Reservation;
 use cherrystream_core::units;
 use cherrystream_net::body::{self, Body, Start};
 use http::{HeaderMap, Request, Response, Uri, header};
@@ -21,6 +22,15 @@
 /// Time beyond the deadline that an inbound has to tell that the deadline passed.
 const LAST_WORD: Duration = Duration::from_millis(50);
 
+/// What a call was given before it is sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Admitted {
+    /// Claim on its key, if it may not be repeated.
+    pub(super) claimed: Option<Claimed>,
+    /// Slot that is kept for it, if it asked for one.
+    pub(super) reservation: Option<Reservation>,
+}
+
 impl Outbound {
     /// Sends a call to a backend server, once.
     pub(super) async fn attempt(
@@ -63,11 +73,16 @@
         let Some(remaining) = call.deadline.remaining(self.clock.now()) else {
             return Err(Refused::new(Reason::DeadlineBeforeStart));
         };
+        let reservation = match claimed.is_none() && call.body.asks_first() {
+            true => Some(self.reserve(call, held, server).await?),
+            false => None,
+        };
+        let admitted = Admitted { claimed, reservation };
         let attempt = async {
             let res = if *server.host == *self.host {
-                self.send_here(call, server, claimed).await?
+                self.send_here(call, server, admitted).await?
             } else {
-                self.send_there(call, held, server, claimed).await?
+                self.send_there(call, held, server, admitted).await?
             };
             hold_if_short(res).await
         };
@@ -77,15 +92,26 @@
         }
     }
 
-    async fn send_here(
-        &self,
-        call: &mut Call,
-        server: &ServerId,
-        claimed: Option<Claimed>,
-    ) -> Tried {
+    async fn send_here(&self, call: &mut Call, server: &ServerId, admitted: Admitted) -> Tried {
         let mut req = self.request(call)?;
         headers::set(req.headers_mut(), headers::ALLOWANCE, call.allowance.left());
-        let inbound_call = InboundCall {
+        let answer = self.inbound.call(self.inbound_call(call, server, admitted, req)).await;
+        if let Some(report) = answer.report {
+            self.with_server(call, server, |s, now| s.on_report(now, report));
+        }
+        answer.result
+    }
+
+    /// Returns a call for the inbound of this host.
+    pub(super) fn inbound_call(
+        &self,
+        call: &Call,
+        server: &ServerId,
+        admitted: Admitted,
+        req: Request<Body>,
+    ) -> InboundCall {
+        let claimed = admitted.claimed.zip(request_key(call));
+        InboundCall {
             service: call.service.clone(),
             server: server.name.clone(),
             kind: call.treatment.kind.as_str().into(),
@@ -94,15 +120,11 @@
             deadline: call.deadline,
             wait_at_most: self.wait_left(call),
             selective: call.is_selective(),
+            reservation: admitted.reservation,
             call: call.id.clone(),
-            claimed: claimed.zip(request_key(call)).map(|(claimed, key)| (key, claimed)),
+            claimed: claimed.map(|(claimed, key)| (key, claimed)),
             req,
-        };
-        let answer = self.inbound.call(inbound_call).await;
-        if let Some(report) = answer.report {
-            self.with_server(call, server, |s, now| s.on_report(now, report));
         }
-        answer.result
     }
 
     async fn send_there(
@@ -110,13 +132,13 @@
         call: &mut Call,
         held: &Held,
         server: &ServerId,
-        claimed: Option<Claimed>,
+        admitted: Admitted,
     ) -> Tried {
         let Some(record) = held.shared.hosts.get(&*server.host) else {
             return Err(Refused::new(Reason::PeerUnreachable));
         };
         let mut req = self.request(call)?;
-        self.set_peer_headers(req.headers_mut(), call, server, claimed);
+        self.set_peer_headers(req.headers_mut(), Op::Call, call, server, admitted);
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
         let res = self.peers.send(&record.peer_address, req).await.map_err(|e| {
@@ -145,12 +167,13 @@
         Ok(req)
     }
 
-    fn set_peer_headers(
+    pub(super) fn set_peer_headers(
         &self,
         map: &mut HeaderMap,
+        op: Op,
         call: &Call,
         server: &ServerId,
-        claimed: Option<Claimed>,
+        admitted: Admitted,
     ) {
         let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
         let aim = hop::Aim {
@@ -166,9 +189,10 @@
             wait_us: units::micros(self.wait_left(call)),
             allowance: call.allowance.left(),
             selective: call.is_selective(),
+            reservation: admitted.reservation,
         };
-        hop::write_call(map, &aim, &head);
-        if let Some(Claimed { claim, index, incarnation }) = claimed {
+        hop::write_call(map, op, &aim, &head);
+        if let Some(Claimed { claim, index, incarnation }) = admitted.claimed {
             headers::set_json(map, headers::CLAIM, &ClaimHeader { claim, index, incarnation });
         }
         if let Some(key) = &self.key {
@@ -184,21 +208,10 @@
         address: &str,
         res: Response<Body>,
     ) -> Tried {
-        let map = res.headers();
-        if let Some(revision) = headers::text(map, &headers::REVISION)
-            .and_then(units::read_revision)
-            .filter(|revision| *revision > self.held.revision())
-        {
-            self.newer.see(address, revision);
-        }
-        let Some(head) = hop::read_answer(map).filter(|head| head.call == call.id) else {
+        let Some(head) = self.read_answer_head(call, server, address, res.headers()) else {
             return Err(Refused::new(Reason::WrongCall));
         };
-        let refused = hop::read_refusal(map, &head);
-        if let Some(report) = head.report {
-            self.with_server(call, server, |s, now| s.on_report(now, report));
-        }
-        if let Some(refused) = refused {
+        if let Some(refused) = hop::read_refusal(res.headers(), &head) {
             return Err(refused);
         }
         let (mut parts, body) = res.into_parts();
@@ -207,6 +220,27 @@
         Ok(Response::from_parts(parts, body))
     }
 
+    /// Reads what goes with a peer's answer to a call; `None` when it belongs to another call.
+    pub(super) fn read_answer_head(
+        &self,
+        call: &Call,
+        server: &ServerId,
+        address: &str,
+        map: &HeaderMap,
+    ) -> Option<hop::AnswerHead> {
+        if let Some(revision) = headers::text(map, &headers::REVISION)
+            .and_then(units::read_revision)
+            .filter(|revision| *revision > self.held.revision())
+        {
+            self.newer.see(address, revision);
+        }
+        let mut head = hop::read_answer(map).filter(|head| head.call == call.id)?;
+        if let Some(report) = head.report.take() {
+            self.with_server(call, server, |s, now| s.on_report(now, report));
+        }
+        Some(head)
+    }
+
     pub(super) fn with_server<R>(
         &self,
         call: &Call,
@@ -277,7 +311,7 @@
 }
 
 /// The authority of the target is the host name that the caller asked for.
-fn peer_target(call: &Call, address: &str) -> Result<Uri, Refused> {
+pub(super) fn peer_target(call: &Call, address: &str) -> Result<Uri, Refused> {
     let authority = headers::text(&call.headers, &header::HOST).unwrap_or(address);
     let path = call.uri.path_and_query().cloned();
     let built = Uri::builder().scheme("http").authority(authority);
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -61,6 +61,7 @@
         }
         let mut res = match Op::read(req.headers()) {
             Some(Op::Call) => self.call(req).await,
+            Some(Op::Reserve) => self.reserve(req).await,
             Some(Op::Fence) => self.fence(req).await,
             Some(Op::Fetch) => self.fetch(),
             None => observe::plain(StatusCode::BAD_REQUEST, "this port is for daemons only\n"),
@@ -78,6 +79,15 @@
         hop::write_answer(id, answer.result, answer.report)
     }
 
+    async fn reserve(&self, req: Request<Incoming>) -> Response<Body> {
+        let Some(call) = self.read_call(req) else {
+            return refusal::response(Refused::new(Reason::BadRequest));
+        };
+        let id = call.call.clone();
+        let reserved = self.inbound.reserve(call).await;
+        hop::write_reservation(id, reserved.result, reserved.report)
+    }
+
     fn read_call(&self, req: Request<Incoming>) -> Option<InboundCall> {
         let (mut parts, incoming) = req.into_parts();
         let map = &parts.headers;
@@ -105,6 +115,7 @@
             deadline,
             wait_at_most: head.wait(),
             selective: head.selective,
+            reservation: head.reservation,
             call: head.call,
             claimed,
             req,
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -14,6 +14,7 @@
 use crate::request_log::RequestLog;
 use crate::sync::{Newer, Sync};
 use cherrystream_core::attempts::{self, Attempts};
+use cherrystream_core::units::Revision;
 use cherrystream_net::body::Body;
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::CallInterface;
@@ -29,6 +30,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Tells the RPC addresses of the seeds that the settings name at that moment.
@@ -119,7 +121,9 @@
             ready: cx.ready.clone(),
             metrics: cx.metrics.clone(),
         });
-        tokio::spawn(put_in_force(held.clone(), outbound.clone(), inbound.clone()));
+        // Subscribed before anything can be taken: a revision taken earlier would go unseen.
+        let revisions = held.subscribe();
+        tokio::spawn(put_in_force(revisions, held.clone(), outbound.clone(), inbound.clone()));
         tokio::spawn(sync.clone().run());
         tokio::spawn(sync.follow_peers(newer));
         let measuring = Measuring { clock, metrics: cx.metrics.clone() };
@@ -246,6 +250,7 @@
         )),
         interface: cx.interface.clone(),
         attempts: Mutex::new(Attempts::new(opts)),
+        reservations: Mutex::default(),
         held: held.clone(),
         host,
         phases: cx.phases.clone(),
@@ -256,8 +261,12 @@
 }
 
 /// Puts each revision in force that is taken.
-async fn put_in_force(held: Arc<HeldCell>, outbound: Arc<Outbound>, inbound: Arc<Inbound>) {
-    let mut revisions = held.subscribe();
+async fn put_in_force(
+    mut revisions: watch::Receiver<Revision>,
+    held: Arc<HeldCell>,
+    outbound: Arc<Outbound>,
+    inbound: Arc<Inbound>,
+) {
     while revisions.changed().await.is_ok() {
         let now = held.get();
         inbound.doors.set(&now.shared);
--- a/crates/cherrystream-daemon/tests/hop.rs
+++ b/crates/cherrystream-daemon/tests/hop.rs
@@ -1,7 +1,8 @@
 //! What two daemons tell each other about a call.
 
 use cherrystream_core::reasons::Reason;
-use cherrystream_daemon::headers;
+use cherrystream_core::reservations::Reservation;
+use cherrystream_daemon::headers::{self, Op};
 use cherrystream_daemon::hop::{self, Aim, CallHead};
 use cherrystream_daemon::refusal::Refused;
 use cherrystream_net::body;
@@ -35,8 +36,9 @@
         wait_us: 80_000,
         allowance: 1,
         selective: true,
+        reservation: None,
     };
-    hop::write_call(&mut map, &aim, &head);
+    hop::write_call(&mut map, Op::Call, &aim, &head);
     let (read_aim, read_head) = hop::read_call(&map).unwrap();
     assert_eq!(read_head, head);
     assert_eq!(
@@ -59,6 +61,23 @@
     assert_eq!(hop::read_refusal(res.headers(), &head), Some(refused));
 }
 
+#[test]
+fn a_reservation_is_read_as_it_was_written() {
+    let res = hop::write_reservation("c".into(), Ok(Reservation(u64::MAX)), Some(report()));
+    assert!(res.body().is_end_stream());
+    let head = hop::read_answer(res.headers()).unwrap();
+    assert_eq!(head.reservation, Some(Reservation(u64::MAX)));
+}
+
+#[test]
+fn a_refused_reservation_tells_its_reason_and_keeps_no_slot() {
+    let refused = Refused { reason: Reason::QueueFull, retry_after: Duration::from_millis(35) };
+    let res = hop::write_reservation("c".into(), Err(refused), None);
+    let head = hop::read_answer(res.headers()).unwrap();
+    assert_eq!(head.reservation, None);
+    assert_eq!(hop::read_refusal(res.headers(), &head), Some(refused));
+}
+
 #[test]
 fn an_answer_is_no_refusal() {
     let answer = Response::new(body::full("x"));
--- /dev/null
+++ b/crates/cherrystream-daemon/tests/reserving.rs
@@ -0,0 +1,212 @@
+//! What a daemon sends to a peer for a request with a long body.
+
+use cherrystream_core::reasons::Reason;
+use cherrystream_core::reservations::Reservation;
+use cherrystream_core::settings;
+use cherrystream_core::shared;
+use cherrystream_core::units::Revision;
+use cherrystream_daemon::headers::Op;
+use cherrystream_daemon::hop;
+use cherrystream_daemon::own_interface::OwnInterface;
+use cherrystream_daemon::refusal::Refused;
+use cherrystream_daemon::role::{Context, Daemon};
+use cherrystream_net::body::{self, Body, Start};
+use cherrystream_net::pool::Pool;
+use cherrystream_net::serve::{self, Phases};
+use cherrystream_schema::messages;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use messages::{
+    HostRecord, Instance, InstanceRecord, RequestLimits, Route, RouteTable, RouteTarget,
+};
+use messages::{RoutedService, ServerState, Shared, Update};
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+const SLOT: Reservation = Reservation(42);
+const LONG_BODY: &str = "thirty-two bytes of a long body.";
+
+/// What the peer was asked, with the bytes of body that came along.
+#[derive(Clone, Debug, PartialEq)]
+struct Asked {
+    op: Op,
+    reservation: Option<Reservation>,
+    body_bytes: usize,
+}
+
+/// A peer that grants a slot to each call, or to none.
+struct Peer {
+    grants: bool,
+    asked: Mutex<Vec<Asked>>,
+}
+
+impl Peer {
+    async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let (parts, incoming) = req.into_parts();
+        let op = Op::read(&parts.headers).expect("a daemon names what it asks");
+        let (_, head) = hop::read_call(&parts.headers).expect("a call has a head");
+        let Ok(Start::Whole(bytes)) = body::read_start(body::incoming(incoming), 1 << 20).await
+        else {
+            panic!("the body broke off");
+        };
+        let asked = Asked { op, reservation: head.reservation, body_bytes: bytes.len() };
+        self.asked.lock().push(asked);
+        let refused = Refused::new(Reason::BusyNow);
+        match op {
+            Op::Reserve if self.grants => hop::write_reservation(head.call, Ok(SLOT), None),
+            Op::Reserve => hop::write_reservation(head.call, Err(refused), None),
+            _ if self.grants => {
+                hop::write_answer(head.call, Ok(Response::new(body::full("done"))), None)
+            }
+            _ => hop::write_answer(head.call, Err(refused), None),
+        }
+    }
+}
+
+/// Starts a peer on a free port; returns its address with it.
+async fn start_peer(grants: bool) -> (Arc<Peer>, String) {
+    let listener = serve::listen("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let peer = Arc::new(Peer { grants, asked: Mutex::default() });
+    let handler = peer.clone();
+    tokio::spawn(serve::serve(listener, Phases::default(), move |req| handler.clone().answer(req)));
+    (peer, address)
+}
+
+/// Returns a state in which the only instance of a service is beside the peer.
+fn state(peer_address: &str) -> Shared {
+    let mut state = shared::empty();
+    let host = |name: &str, address: &str| HostRecord {
+        host: name.into(),
+        failure_domain: "a".into(),
+        region: "r".into(),
+        peer_address: address.into(),
+        incarnation: 1,
+        leaving: false,
+    };
+    state.hosts.insert("peer".into(), host("peer", peer_address));
+    let instance = Instance {
+        id: "i-1".into(),
+        service: "orders".into(),
+        address: "127.0.0.1:1".into(),
+        slots: 4,
+        state: ServerState::Live,
+        sequence: 1,
+    };
+    state.instances.insert("peer".into(), InstanceRecord { instance, retired: Vec::new() });
+    let route = Route {
+        host: "a.example".into(),
+        path_prefix: "/".into(),
+        repeatable: false,
+        timeout_us: 2_000_000,
+        target_us: 1_000_000,
+        priority: 1,
+        attempts_at_most: 2,
+        targets: vec![RouteTarget { service: "orders".into(), weight: 1 }],
+    };
+    let routed = RoutedService { health_path: "/".into(), connections_at_most: 100 };
+    state.routes = Some(RouteTable {
+        number: 1,
+        routes: [("r-1".to_string(), route)].into(),
+        services: [("orders".to_string(), routed)].into(),
+        limits: RequestLimits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_timeout_us: 3_000_000,
+            idle_timeout_us: 15_000_000,
+        },
+    });
+    state
+}
+
+/// Starts a daemon that holds a state; returns the address for its callers with it.
+async fn start_daemon(state: Shared) -> (Daemon, String) {
+    let reserved = serve::listen("127.0.0.1:0").await.unwrap();
+    let callers = reserved.local_addr().unwrap().to_string();
+    drop(reserved);
+    let text = format!(
+        "host: own\nfailure_domain: a\nclosed_network: true\ndaemon:\n  caller_address: {callers}\n  \
+         peer_address: 127.0.0.1:0\n  control: [127.0.0.1:1]\n"
+    );
+    let all = settings::read(&text).unwrap();
+    let cx = Context {
+        phases: Phases::default(),
+        key: None,
+        interface: Arc::new(OwnInterface),
+        reread: Arc::new(|| None),
+        metrics: Default::default(),
+        ready: Arc::new(AtomicBool::new(false)),
+    };
+    let daemon = Daemon::start(&all, all.daemon.as_ref().unwrap(), cx).await.unwrap();
+    daemon.held().take(Update {
+        revision: Revision { term: 1, index: 1 },
+        changes: Vec::new(),
+        full: Some(state),
+        quorum_age_ms: 0,
+        control: Vec::new(),
+        failure_domain: None,
+    });
+    (daemon, callers)
+}
+
+async fn ask(callers: &str, text: String) -> u16 {
+    let req = Request::post("/x").header("host", "a.example").body(body::full(text)).unwrap();
+    let pool = Pool::new(callers, Default::default());
+    let connection = pool.connection().await.expect("no connection");
+    pool.send(connection, req).await.expect("no answer").status().as_u16()
+}
+
+/// Asks until the state is in force: before that no service is known.
+async fn ask_in_force(callers: &str, text: &str) -> u16 {
+    for _ in 0..1_000 {
+        let status = ask(callers, text.into()).await;
+        if status != 404 {
+            return status;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the state is not in force after 5 s");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_body_does_not_travel_with_an_offer_that_is_turned_down() {
+    let (peer, address) = start_peer(false).await;
+    let (_daemon, callers) = start_daemon(state(&address)).await;
+    assert_eq!(ask_in_force(&callers, &LONG_BODY.repeat(128)).await, 503);
+    let asked = peer.asked.lock().clone();
+    assert!(asked.iter().all(|a| a.op == Op::Reserve && a.body_bytes == 0), "{asked:?}");
+    assert!(!asked.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_body_travels_once_to_the_slot_that_is_kept_for_it() {
+    let (peer, address) = start_peer(true).await;
+    let (_daemon, callers) = start_daemon(state(&address)).await;
+    assert_eq!(ask_in_force(&callers, &LONG_BODY.repeat(128)).await, 200);
+    let reserve = Asked { op: Op::Reserve, reservation: None, body_bytes: 0 };
+    let call = Asked { op: Op::Call, reservation: Some(SLOT), body_bytes: 32 * 128 };
+    assert_eq!(*peer.asked.lock(), [reserve, call]);
+}
+
+/// A body that comes from the caller's connection can be sent once only: an offer must not use it up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_not_held_is_offered_too() {
+    let (peer, address) = start_peer(true).await;
+    let (_daemon, callers) = start_daemon(state(&address)).await;
+    let repeats = 4 * 1_024;
+    assert_eq!(ask_in_force(&callers, &LONG_BODY.repeat(repeats)).await, 200);
+    let ops: Vec<Op> = peer.asked.lock().iter().map(|asked| asked.op).collect();
+    assert_eq!(ops, [Op::Reserve, Op::Call]);
+    assert_eq!(peer.asked.lock()[1].body_bytes, 32 * repeats);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_body_travels_with_the_offer() {
+    let (peer, address) = start_peer(true).await;
+    let (_daemon, callers) = start_daemon(state(&address)).await;
+    assert_eq!(ask_in_force(&callers, LONG_BODY).await, 200);
+    let asked = Asked { op: Op::Call, reservation: None, body_bytes: 32 };
+    assert_eq!(*peer.asked.lock(), [asked]);
+}
