Doors learn whether a backend server can use all of its slots

Cause: 0.8 of the slots were used because both sites' servers slow down from there on, which their files say.

Change: the share is where a door begins. While requests find no slot it tries all of them, compares answers' times as a ratio to the usual time of their kind, at the usual pace only, and keeps them if at most half of what they add is lost to slower answers (core::slot_limit).

--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -1,9 +1,14 @@
 //! Admission at the one door to a backend server: slots, a short queue, shedding by weight.
 
+mod request;
+
+pub use request::{Action, Arrival, Options, Refusal, Ticket, Verdict};
+
 use crate::kinds;
-use crate::pace::Pace;
+use crate::pace::{self, Pace};
 use crate::reasons::Reason;
 use crate::reserve::Reserve;
+use crate::slot_limit::SlotLimit;
 use crate::units::{Timestamp, micros};
 use cherrystream_schema::messages::ServerState;
 use std::cmp::Reverse;
@@ -17,74 +22,6 @@
 /// Share of its slots that a backend server gets at the beginning of its slow start.
 const COLD_SHARE: f64 = 0.25;
 
-/// Names a request at the door.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-/// Settings of a door.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Options {
-    /// Requests that the backend server works on at once.
-    pub slots: u32,
-    /// Requests that may wait.
-    pub queue: u32,
-    /// Time over which a backend server that starts gets its full slots.
-    pub ramp: Duration,
-    /// Share of the slots that are used: some backend servers slow down when nearly full.
-    pub share: f64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Options { slots: 1, queue: 1, ramp: Duration::ZERO, share: 1.0 }
-    }
-}
-
-/// A request that asks to be let in.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Arrival {
-    /// Weight when load is shed; the lowest goes first.
-    pub weight: u32,
-    /// When the call ends.
-    pub deadline: Timestamp,
-    /// Whether the request has other backend servers to go to: it is let in only where it is
-    /// served well.
-    pub selective: bool,
-    /// Until when an answer is in time, where that is known.
-    pub good_until: Option<Timestamp>,
-    /// How long the backend server usually works on such a request, where that is known.
-    pub usual: Option<Duration>,
-}
-
-/// What becomes of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Verdict {
-    /// It goes to the backend server now.
-    Run(Ticket),
-    /// It waits; an [`Action`] follows.
-    Wait(Ticket),
-    /// It is not run.
-    Refuse(Refusal),
-}
-
-/// A refusal: the request is not run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// When it is worth sending again.
-    pub retry_after: Duration,
-}
-
-/// What becomes of a request that waited.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Action {
-    /// It goes to the backend server now.
-    Start(Ticket),
-    /// It is not run.
-    Refuse(Ticket, Refusal),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     weight: Reverse<u32>,
@@ -96,6 +33,8 @@
 struct Running {
     since: Timestamp,
     weight: u32,
+    /// Most slots that were taken at once since then.
+    taken: u32,
 }
 
 /// The door to one backend server.
@@ -106,6 +45,7 @@
     live_since: Timestamp,
     running: BTreeMap<Ticket, Running>,
     reserve: Reserve,
+    limit: SlotLimit,
     waiting: BTreeMap<Place, Timestamp>,
     latency: Duration,
     pace: Pace,
@@ -122,6 +62,7 @@
             live_since: Timestamp::default(),
             running: BTreeMap::new(),
             reserve: Reserve::default(),
+            limit: SlotLimit::new(opts.slots, opts.share),
             waiting: BTreeMap::new(),
             latency: Duration::from_millis(5),
             pace: Pace::default(),
@@ -132,6 +73,9 @@
 
     /// Changes the settings; requests already let in stay.
     pub fn set_options(&mut self, opts: Options) {
+        if (opts.slots, opts.share) != (self.opts.slots, self.opts.share) {
+            self.limit = SlotLimit::new(opts.slots, opts.share);
+        }
         self.opts = opts;
     }
 
@@ -189,6 +133,24 @@
         self.fill(now)
     }
 
+    /// Takes the time of a request's whole answer, as a ratio to the usual time of its kind. Only
+    /// answers at the usual pace tell what the number of requests at work costs.
+    pub fn on_speed(&mut self, now: Timestamp, ticket: Ticket, ratio: f64) {
+        if let Some(running) = self.running.get(&ticket) {
+            self.limit.on_answer(now, running.taken, ratio);
+        }
+    }
+
+    /// Returns the slots that are used while none are being tried.
+    pub fn slots_in_use(&self) -> u32 {
+        self.limit.settled()
+    }
+
+    /// Returns whether further slots are being tried: answers may take longer than usual meanwhile.
+    pub fn is_trying_slots(&self) -> bool {
+        self.limit.is_trying()
+    }
+
     /// Takes the backend server's word on its pace.
     pub fn on_pace(&mut self, now: Timestamp, slowness: u32) {
         self.pace.on_word(now, slowness);
@@ -308,7 +270,7 @@
     }
 
     fn slots_used(&self) -> u32 {
-        ((f64::from(self.opts.slots) * self.opts.share) as u32).max(1)
+        self.limit.used()
     }
 
     /// Returns whether there is a slot for a request of this weight.
@@ -319,7 +281,11 @@
         }
         let calls = self.running.values().filter(|r| kinds::is_called(r.weight)).count();
         let kept_free = self.reserve.kept_free(now, slots, calls as u32);
-        self.running.len() < slots.saturating_sub(kept_free) as usize
+        let has_slot = self.running.len() < slots.saturating_sub(kept_free) as usize;
+        if !has_slot && self.pace.slowness(now) <= pace::USUAL {
+            self.limit.on_short(now);
+        }
+        has_slot
     }
 
     /// Returns whether no other request waits that goes before one of this weight.
@@ -340,7 +306,11 @@
     }
 
     fn start(&mut self, now: Timestamp, ticket: Ticket, weight: u32) {
-        self.running.insert(ticket, Running { since: now, weight });
+        let taken = self.running.len() as u32 + 1;
+        for running in self.running.values_mut() {
+            running.taken = running.taken.max(taken);
+        }
+        self.running.insert(ticket, Running { since: now, weight, taken });
     }
 
     fn expected_wait(&self, weight: u32) -> Duration {
--- /dev/null
+++ b/crates/cherrystream-core/src/admission/request.rs
@@ -0,0 +1,73 @@
+//! What a door is asked, and what it decides.
+
+use crate::reasons::Reason;
+use crate::units::Timestamp;
+use std::time::Duration;
+
+/// Names a request at the door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Settings of a door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// Requests that the backend server works on at once.
+    pub slots: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+    /// Time over which a backend server that starts gets its full slots.
+    pub ramp: Duration,
+    /// Share of the slots that are used at first; see [`crate::slot_limit`].
+    pub share: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { slots: 1, queue: 1, ramp: Duration::ZERO, share: 1.0 }
+    }
+}
+
+/// A request that asks to be let in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// Weight when load is shed; the lowest goes first.
+    pub weight: u32,
+    /// When the call ends.
+    pub deadline: Timestamp,
+    /// Whether the request has other backend servers to go to: it is let in only where it is
+    /// served well.
+    pub selective: bool,
+    /// Until when an answer is in time, where that is known.
+    pub good_until: Option<Timestamp>,
+    /// How long the backend server usually works on such a request, where that is known.
+    pub usual: Option<Duration>,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It goes to the backend server now.
+    Run(Ticket),
+    /// It waits; an [`Action`] follows.
+    Wait(Ticket),
+    /// It is not run.
+    Refuse(Refusal),
+}
+
+/// A refusal: the request is not run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When it is worth sending again.
+    pub retry_after: Duration,
+}
+
+/// What becomes of a request that waited.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// It goes to the backend server now.
+    Start(Ticket),
+    /// It is not run.
+    Refuse(Ticket, Refusal),
+}
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod routes;
 pub mod settings;
 pub mod shared;
+pub mod slot_limit;
 pub mod state;
 pub mod units;
 pub mod usual_times;
