A replica that stands by keeps the members' addresses and tells them; learned slots reverted

Cause, by the logs: the seeds had been exchanged for three replicas of which two were members and one stood by. Then two disks were lost, those of the two, and all hosts lost power. The three members left elected a leader within 0.3 s, but nobody asked them: daemons and blank replicas knew the three seeds only, the one that stood by had forgotten the members with its process, and it answered a question for a place with an error and no addresses. Ruled out: the slots that doors learn (no part of it), the log, the election.

Change: a replica without a place keeps the addresses that it knows in its data folder, synced, and names them to whoever asks it for a place (control::contacts, standby, place). Emptying a folder keeps that file.

Test: standby::what_a_replica_without_a_place_has_learned_outlasts_it; fails without the writing, and failed at first for seeds that are members too, which were not kept as nothing in them was new.

--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod api;
 pub mod backlog;
+pub mod contacts;
 pub mod driver;
 pub mod errors;
 pub mod folder;
--- a/crates/cherrystream-control/src/place.rs
+++ b/crates/cherrystream-control/src/place.rs
@@ -1,5 +1,6 @@
 //! The place of a replica in the group: fixed by settings, one of the founders, or asked for.
 
+use crate::contacts;
 use crate::errors::Result;
 use crate::folder::Folder;
 use crate::metrics::Metrics;
@@ -17,6 +18,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task;
 
 /// Time between questions for a place.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
@@ -123,11 +125,13 @@
     };
     log::info!("control: no place in the group yet; asking {}", seeds.join(", "));
     let standby = Standby::new(seeds);
+    standby.learn(contacts::read(folder).into_iter().filter(|a| *a != settings.rpc_address));
     let listening = standby.clone();
     let key = finder.key.cloned();
     let rpc = rpc_server::serve(listening, &settings.rpc_address, key, finder.metrics.clone());
     let rpc = rpc.await?;
-    let (replica, addresses) = ask_until_given(&standby, &request, finder.key).await;
+    let asking = Asking { standby: &standby, request: &request, key: finder.key };
+    let (replica, addresses) = asking.until_given(folder).await;
     let _ = rpc.stop();
     rpc.stopped().await;
     log::info!("control: joins the group as replica {replica}");
@@ -145,22 +149,46 @@
     (1..).zip(filled).take(wanted.min(most).max(seeds.len())).collect()
 }
 
-async fn ask_until_given(
-    standby: &Standby,
-    request: &JoinRequest,
-    key: Option<&Secret>,
-) -> (u64, BTreeMap<u64, String>) {
-    let mut turn = 0;
-    loop {
-        let address = standby.address(turn);
-        turn += 1;
-        if let Some(reply) = ask(&address, request, key).await {
-            if let Some(replica) = reply.replica {
-                return (replica, by_number(&reply.addresses));
+/// A replica that asks for a place.
+struct Asking<'a> {
+    standby: &'a Standby,
+    request: &'a JoinRequest,
+    key: Option<&'a Secret>,
+}
+
+impl Asking<'_> {
+    /// Asks those that are known, in turn, until one gives a place; returns it with all addresses.
+    async fn until_given(&self, folder: &impl Folder) -> (u64, BTreeMap<u64, String>) {
+        let mut kept = contacts::read(folder);
+        let mut turn = 0;
+        loop {
+            let address = self.standby.address(turn);
+            turn += 1;
+            if let Some(reply) = ask(&address, self.request, self.key).await {
+                if let Some(replica) = reply.replica {
+                    return (replica, by_number(&reply.addresses));
+                }
+                let others = reply.addresses.into_values();
+                self.standby.learn(others.filter(|a| *a != self.request.address));
+                self.keep(folder, &mut kept).await;
             }
-            standby.learn(reply.addresses.into_values().filter(|a| *a != request.address));
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
+    /// Keeps what is known on disk, seeds that answered included: after a restart the settings may name
+    /// others.
+    async fn keep(&self, folder: &impl Folder, kept: &mut Vec<String>) {
+        let known = self.standby.known();
+        if known == *kept {
+            return;
+        }
+        let (mut folder, addresses) = (folder.fork(), known.clone());
+        let written = task::spawn_blocking(move || contacts::write(&mut folder, &addresses)).await;
+        match written {
+            Ok(Err(e)) => log::warn!("control: the members' addresses cannot be kept: {e}"),
+            _ => *kept = known,
         }
-        tokio::time::sleep(ASK_AGAIN).await;
     }
 }
 
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -44,7 +44,7 @@
     /// Metrics.
     pub metrics: Metrics,
     /// Called with the reason when the role can no longer run.
-    pub on_failure: Box<dyn FnOnce(String) + Send>,
+    pub on_failure: Box<dyn FnOnce(String) + Send + Sync>,
 }
 
 /// The running control role.
--- a/crates/cherrystream-control/src/standby.rs
+++ b/crates/cherrystream-control/src/standby.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Returns the addresses that are known.
+    pub fn known(&self) -> Vec<String> {
+        self.known.read().clone()
+    }
+
     /// Returns the address whose turn it is.
     pub fn address(&self, turn: usize) -> String {
         let known = self.known.read();
@@ -50,7 +55,7 @@
             full: None,
             // It has no word from a quorum, so daemons leave it for those that it names.
             quorum_age_ms: u64::MAX,
-            control: self.known.read().clone(),
+            control: self.known(),
             failure_domain: None,
         }
     }
@@ -86,8 +91,11 @@
         Ok(Vec::new())
     }
 
+    /// Gives no place, but tells the addresses that are known.
     async fn join(&self, _req: JoinRequest) -> RpcResult<JoinReply> {
-        Err(rpc::unavailable(NO_PLACE))
+        let known = self.known().into_iter().enumerate();
+        let addresses = known.map(|(i, address)| (i.to_string(), address)).collect();
+        Ok(JoinReply { replica: None, addresses })
     }
 
     async fn replace_routes(&self, _number: u64, _packed: String) -> RpcResult<RouteOrderReply> {
--- a/crates/cherrystream-control/src/store.rs
+++ b/crates/cherrystream-control/src/store.rs
@@ -4,6 +4,7 @@
 //! record of a new file that takes the old one's place by a rename. The disk identifier stands
 //! in the same file, so that it cannot outlive what it vouches for.
 
+use crate::contacts;
 use crate::errors::{self, Error, Result};
 use crate::folder::Folder;
 use crate::records::{Reader, Record, encode};
@@ -133,13 +134,14 @@
         self.finish_replace(written, hard, entries)
     }
 
-    /// Removes all files, so that the folder counts as that of a new disk.
+    /// Removes all files but the members' addresses, so that the folder counts as that of a new disk.
     ///
     /// # Errors
     ///
     /// Fails when the disk does.
     pub fn clear(&mut self) -> Result<()> {
-        for name in self.folder.list().map_err(errors::folder("list the files"))? {
+        let names = self.folder.list().map_err(errors::folder("list the files"))?;
+        for name in names.into_iter().filter(|name| name != contacts::FILE) {
             self.folder.remove(&name).map_err(errors::folder("remove a file"))?;
         }
         self.folder.sync_names().map_err(errors::folder("sync the folder"))
--- /dev/null
+++ b/crates/cherrystream-control/tests/standby.rs
@@ -0,0 +1,111 @@
+//! A replica that stands by finds the members again after a restart, though its seeds know none.
+
+use cherrystream_control::contacts;
+use cherrystream_control::folder::{DiskFolder, Folder};
+use cherrystream_control::role::{Context, Control};
+use cherrystream_core::settings;
+use cherrystream_net::rpc::{self, ControlRpcClient};
+use cherrystream_net::serve::Phases;
+use cherrystream_schema::messages::JoinRequest;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Longest wait for a condition; far beyond what is usual.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Loopback addresses of this test's own, so that its ports are free.
+fn base() -> String {
+    format!("127.{}.{}", 200, 1 + std::process::id() % 250)
+}
+
+/// Starts a replica in a data folder, whose settings name `seeds`; the task ends once it has a place.
+fn start(n: u8, seeds: &[u8], folder: &Path, found: bool) -> JoinHandle<Control> {
+    let folder = folder.display();
+    let base = base();
+    let seeds: Vec<String> = seeds.iter().map(|s| format!("'{base}.{s}:8306'")).collect();
+    let text = format!(
+        "host: core-{n}\nfailure_domain: z\nclosed_network: true\ncontrol:\n  rpc_address: \
+         {base}.{n}:7620\n  api_address: {base}.{n}:8306\n  data_folder: {folder}\n  found: \
+         {found}\n  seeds: {{addresses: [{}], rpc_port: 7620}}\n",
+        seeds.join(", ")
+    );
+    let all = settings::read(&text).unwrap();
+    let cx = Context {
+        phases: Phases::default(),
+        key: None,
+        failure_domain: all.failure_domain.clone(),
+        orders: None,
+        metrics: Default::default(),
+        on_failure: Box::new(|what| panic!("{what}")),
+    };
+    tokio::spawn(async move { Control::start(all.control.as_ref().unwrap(), cx).await.unwrap() })
+}
+
+/// Waits until a replica names all of `members` to one that asks for a place.
+async fn names(n: u8, members: &BTreeSet<String>) {
+    let address = format!("{}.{n}:7620", base());
+    let request = JoinRequest {
+        address: format!("{}.99:7620", base()),
+        disk: "a-blank-disk".into(),
+        failure_domain: "z".into(),
+        stands_by: true,
+    };
+    let asking = async {
+        loop {
+            if let Ok(client) = rpc::connect(&address, None, Duration::from_secs(1)).await
+                && let Ok(reply) = client.join(request.clone()).await
+                && reply.addresses.values().cloned().collect::<BTreeSet<_>>().is_superset(members)
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let named = tokio::time::timeout(PATIENCE, asking).await;
+    assert!(named.is_ok(), "replica {n} does not name {members:?}");
+}
+
+/// Found on the users' platform: the seeds had been exchanged, two of the new ones lost their disks, the
+/// third stood by, and all lost power.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_replica_without_a_place_has_learned_outlasts_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = |n: u8| folder.path().join(n.to_string());
+    let mut members = Vec::new();
+    for n in 1..=3 {
+        members.push(start(n, &[1, 2, 3], &path(n), true).await.unwrap());
+    }
+    let addresses: BTreeSet<String> = (1..=3).map(|n| format!("{}.{n}:7620", base())).collect();
+    let standby = start(4, &[1, 2, 3], &path(4), true);
+    names(4, &addresses).await;
+    // What it tells it has also kept, or is about to.
+    let own = DiskFolder::try_new(path(4)).unwrap();
+    let kept = async {
+        while contacts::read(&own).len() < 3 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, kept).await.expect("the addresses are not kept");
+    standby.abort();
+    let _ = standby.await;
+    // It starts again with the same disk (at another address, as the old one may be in use yet). Its
+    // settings name only replicas that are not there.
+    let _again = start(5, &[5, 6, 7], &path(4), false);
+    names(5, &addresses).await;
+}
+
+#[test]
+fn contacts_are_replaced_as_a_whole() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut folder = DiskFolder::try_new(folder.path()).unwrap();
+    assert!(contacts::read(&folder).is_empty());
+    contacts::write(&mut folder, &["a:1".into(), "b:1".into()]).unwrap();
+    // As after a write that did not end.
+    folder.append("contacts.json.new", b"[\"c").unwrap();
+    contacts::write(&mut folder, &["d:1".into()]).unwrap();
+    assert_eq!(contacts::read(&folder), ["d:1"]);
+    folder.append("contacts.json", b"torn").unwrap();
+    assert!(contacts::read(&folder).is_empty(), "what cannot be read is no loss");
+}
--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -5,10 +5,9 @@
 pub use request::{Action, Arrival, Options, Refusal, Ticket, Verdict};
 
 use crate::kinds;
-use crate::pace::{self, Pace};
+use crate::pace::Pace;
 use crate::reasons::Reason;
 use crate::reserve::Reserve;
-use crate::slot_limit::SlotLimit;
 use crate::units::{Timestamp, micros};
 use cherrystream_schema::messages::ServerState;
 use std::cmp::Reverse;
@@ -33,8 +32,6 @@
 struct Running {
     since: Timestamp,
     weight: u32,
-    /// Most slots that were taken at once since then.
-    taken: u32,
 }
 
 /// The door to one backend server.
@@ -45,7 +42,6 @@
     live_since: Timestamp,
     running: BTreeMap<Ticket, Running>,
     reserve: Reserve,
-    limit: SlotLimit,
     waiting: BTreeMap<Place, Timestamp>,
     latency: Duration,
     pace: Pace,
@@ -62,7 +58,6 @@
             live_since: Timestamp::default(),
             running: BTreeMap::new(),
             reserve: Reserve::default(),
-            limit: SlotLimit::new(opts.slots, opts.share),
             waiting: BTreeMap::new(),
             latency: Duration::from_millis(5),
             pace: Pace::default(),
@@ -73,9 +68,6 @@
 
     /// Changes the settings; requests already let in stay.
     pub fn set_options(&mut self, opts: Options) {
-        if (opts.slots, opts.share) != (self.opts.slots, self.opts.share) {
-            self.limit = SlotLimit::new(opts.slots, opts.share);
-        }
         self.opts = opts;
     }
 
@@ -133,24 +125,6 @@
         self.fill(now)
     }
 
-    /// Takes the time of a request's whole answer, as a ratio to the usual time of its kind. Only
-    /// answers at the usual pace tell what the number of requests at work costs.
-    pub fn on_speed(&mut self, now: Timestamp, ticket: Ticket, ratio: f64) {
-        if let Some(running) = self.running.get(&ticket) {
-            self.limit.on_answer(now, running.taken, ratio);
-        }
-    }
-
-    /// Returns the slots that are used while none are being tried.
-    pub fn slots_in_use(&self) -> u32 {
-        self.limit.settled()
-    }
-
-    /// Returns whether further slots are being tried: answers may take longer than usual meanwhile.
-    pub fn is_trying_slots(&self) -> bool {
-        self.limit.is_trying()
-    }
-
     /// Takes the backend server's word on its pace.
     pub fn on_pace(&mut self, now: Timestamp, slowness: u32) {
         self.pace.on_word(now, slowness);
@@ -270,7 +244,7 @@
     }
 
     fn slots_used(&self) -> u32 {
-        self.limit.used()
+        ((f64::from(self.opts.slots) * self.opts.share) as u32).max(1)
     }
 
     /// Returns whether there is a slot for a request of this weight.
@@ -281,11 +255,7 @@
         }
         let calls = self.running.values().filter(|r| kinds::is_called(r.weight)).count();
         let kept_free = self.reserve.kept_free(now, slots, calls as u32);
-        let has_slot = self.running.len() < slots.saturating_sub(kept_free) as usize;
-        if !has_slot && self.pace.slowness(now) <= pace::USUAL {
-            self.limit.on_short(now);
-        }
-        has_slot
+        self.running.len() < slots.saturating_sub(kept_free) as usize
     }
 
     /// Returns whether no other request waits that goes before one of this weight.
@@ -306,11 +276,7 @@
     }
 
     fn start(&mut self, now: Timestamp, ticket: Ticket, weight: u32) {
-        let taken = self.running.len() as u32 + 1;
-        for running in self.running.values_mut() {
-            running.taken = running.taken.max(taken);
-        }
-        self.running.insert(ticket, Running { since: now, weight, taken });
+        self.running.insert(ticket, Running { since: now, weight });
     }
 
     fn expected_wait(&self, weight: u32) -> Duration {
--- a/crates/cherrystream-core/src/admission/request.rs
+++ b/crates/cherrystream-core/src/admission/request.rs
@@ -17,7 +17,7 @@
     pub queue: u32,
     /// Time over which a backend server that starts gets its full slots.
     pub ramp: Duration,
-    /// Share of the slots that are used at first; see [`crate::slot_limit`].
+    /// Share of the slots that are used: some backend servers slow down when nearly full.
     pub share: f64,
 }
 
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -27,7 +27,6 @@
 pub mod routes;
 pub mod settings;
 pub mod shared;
-pub mod slot_limit;
 pub mod state;
 pub mod units;
 pub mod usual_times;
--- a/crates/cherrystream-daemon/src/door.rs
+++ b/crates/cherrystream-daemon/src/door.rs
@@ -3,7 +3,6 @@
 use cherrystream_core::admission::{self, Action, Admission, Arrival, Refusal, Ticket, Verdict};
 use cherrystream_core::callers::Callers;
 use cherrystream_core::measuring::{Check, Health, MeasuringBudget};
-use cherrystream_core::pace;
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::units::Timestamp;
 use cherrystream_core::usual_times::UsualTimes;
@@ -205,20 +204,10 @@
 
 impl Inner {
     /// Learns from an answer how long such work takes at the usual pace.
-    fn learn(&mut self, now: Timestamp, ticket: Ticket, work: &Work) {
-        let took = now.since(work.since);
-        let usual = self.usual_times.usual(&work.kind).filter(|usual| !usual.is_zero());
-        let slowest = work.slowness.max(self.admission.slowness(now));
-        if let Some(usual) = usual.filter(|_| slowest <= pace::USUAL) {
-            let ratio = took.as_secs_f64() / usual.as_secs_f64();
-            self.admission.on_speed(now, ticket, ratio);
-        }
-        if self.admission.is_trying_slots() {
-            return;
-        }
+    fn learn(&mut self, now: Timestamp, work: &Work) {
         // The pace may have changed meanwhile: the mean of both ends stands for all of the time.
         let slowness = u32::midpoint(work.slowness, self.admission.slowness(now));
-        self.usual_times.on_answer(now, &work.kind, took, slowness);
+        self.usual_times.on_answer(now, &work.kind, now.since(work.since), slowness);
     }
 }
 
@@ -236,17 +225,6 @@
     }
 }
 
-/// Logs that a door has learned to use more or fewer of its backend server's slots.
-fn tell_slots(id: &ServerName, before: u32, now: u32) {
-    if before != now {
-        log::info!(
-            "door: {} of {} uses {now} slots from now on, before {before}",
-            id.name,
-            id.service
-        );
-    }
-}
-
 /// Takes a request out of the queue when its caller goes.
 struct QueueGuard<'a> {
     door: &'a Arc<Door>,
@@ -304,9 +282,7 @@
         let work = self.work.take().filter(|_| answered);
         door.with(|inner, now| {
             if let Some(work) = work {
-                let before = inner.admission.slots_in_use();
-                inner.learn(now, ticket, &work);
-                tell_slots(&self.door.id, before, inner.admission.slots_in_use());
+                inner.learn(now, &work);
             }
             ((), inner.admission.finish(now, ticket, answered))
         });
