A leader never admits itself; a replica gives its log up only on a quorum's word

Cause: a voter without word from a quorum counted as silent for ever (Duration::MAX), so it asked for its place right after the start. The question went round by another replica to the leader, which was the asker. Its own number was not among those looked at, so it was given the vacant place 4; another number than its own meant 'place lost', and the folder was emptied.

Change: questions name the number that the replica runs under; a leader knows its own disk and address; 'lost' is said only when a committed entry names another disk, that disk is heard and a quorum confirms the read; one that leads or takes part in a quorum does not believe it; the log is set aside, one generation, in place of deleted. 'Not heard yet' and an age are different in the type. A founder that ends before the group is founded is marked on disk, and may found it when it is back.

--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -8,6 +8,7 @@
 use crate::peers::Peers;
 use crate::snapshots::{self, Made};
 use crate::store::{Batch, Store};
+use cherrystream_core::raft::asking::{self, PlaceView};
 use cherrystream_core::raft::{Newcomer, Options, Position, Raft, Ready};
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Timestamp;
@@ -146,14 +147,14 @@
             let wait = if self.backlog.is_empty() { TICK } else { Duration::ZERO };
             match rx.recv_timeout(wait) {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
-                Ok(Event::Replaced) => return self.forget(),
+                Ok(Event::Replaced) if self.gives_up() => return self.forget(),
                 Ok(event) => self.take(event),
                 Err(RecvTimeoutError::Timeout) => {}
             }
             for event in rx.try_iter().take(EVENTS_AT_ONCE) {
                 match event {
                     Event::Stop => return Ok(()),
-                    Event::Replaced => return self.forget(),
+                    Event::Replaced if self.gives_up() => return self.forget(),
                     event => self.take(event),
                 }
             }
@@ -204,6 +205,7 @@
                     address: &request.address,
                     disk: &request.disk,
                     stands_by: request.stands_by,
+                    runs_as: request.runs_as,
                 };
                 let answer = match self.raft.is_leader() {
                     true => Ok(self.raft.admit(now, newcomer)),
@@ -219,10 +221,28 @@
         }
     }
 
-    /// Empties the data folder of a replica whose place was given away. The process ends, and asks
-    /// for another place when it is started again.
+    /// Returns whether a replica that was told that its place is lost may believe it.
+    fn gives_up(&self) -> bool {
+        let view = PlaceView {
+            leads: self.raft.is_leader(),
+            votes: self.raft.is_voter(),
+            word: self.raft.quorum_word(self.clock.now()),
+        };
+        let gives_up = asking::may_give_up(view);
+        if !gives_up {
+            log::warn!(
+                "control: replica {} was told that its place is lost, but is part of a quorum; it \
+                 keeps its place ({view:?})",
+                self.raft.id()
+            );
+        }
+        gives_up
+    }
+
+    /// Sets the log of a replica aside whose place was given away. The process ends, and asks for
+    /// another place when it is started again.
     fn forget(&mut self) -> Result<()> {
-        self.store.clear()?;
+        self.store.set_aside()?;
         Err(Error::Replaced { replica: self.raft.id() })
     }
 
@@ -336,8 +356,8 @@
     /// Shows where the replicas are, and how old the word of a leader with a quorum is.
     fn publish_group(&mut self) {
         let now = self.clock.now();
-        let age = self.raft.quorum_age(now);
-        *self.quorum_word.write() = now.earlier(age);
+        let age = self.raft.quorum_word(now).age();
+        *self.quorum_word.write() = age.map(|age| now.earlier(age).unwrap_or_default());
         let addresses = self.raft.addresses(now);
         if *self.addresses.read() != addresses {
             for (id, address) in &addresses {
--- a/crates/cherrystream-control/src/handle.rs
+++ b/crates/cherrystream-control/src/handle.rs
@@ -1,6 +1,7 @@
 //! What the other parts of the control role use to speak to the replicated log.
 
-use cherrystream_core::raft::ReplicaView;
+use cherrystream_core::raft::asking::{PlaceView, QuorumWord};
+use cherrystream_core::raft::{Admission, ReplicaView};
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Timestamp;
 use cherrystream_schema::messages::{Command, JoinRequest, RaftMessage};
@@ -39,8 +40,8 @@
     Read(oneshot::Sender<Result<u64, NoResult>>),
     /// A question for what the leader knows of the others.
     Views(oneshot::Sender<Vec<ReplicaView>>),
-    /// A replica asks for a place in the group; the reply is its number, if one is free.
-    Admit(Box<JoinRequest>, oneshot::Sender<Result<Option<u64>, NoResult>>),
+    /// A replica asks for a place in the group; the reply says whether it may have one.
+    Admit(Box<JoinRequest>, oneshot::Sender<Result<Admission, NoResult>>),
     /// Hand the leadership over, then answer.
     HandOver(oneshot::Sender<()>),
     /// This replica's place was given to another one.
@@ -100,7 +101,7 @@
     /// # Errors
     ///
     /// Fails on a replica that does not lead.
-    pub async fn admit(&self, request: JoinRequest) -> Result<Option<u64>, NoResult> {
+    pub async fn admit(&self, request: JoinRequest) -> Result<Admission, NoResult> {
         let (tx, rx) = oneshot::channel();
         self.send(Event::Admit(Box::new(request), tx))?;
         wait(rx).await
@@ -112,10 +113,19 @@
         addresses.values().filter(|address| !address.is_empty()).cloned().collect()
     }
 
-    /// Returns the time since this replica had word from a leader with a quorum.
-    pub fn quorum_age(&self) -> Duration {
-        let word = *self.quorum_word.read();
-        word.map_or(Duration::MAX, |at| self.clock.now().since(at))
+    /// Returns how old the word of a leader with a quorum is here.
+    pub fn quorum_word(&self) -> QuorumWord {
+        let heard = *self.quorum_word.read();
+        match heard {
+            Some(at) => QuorumWord::Heard { age: self.clock.now().since(at) },
+            None => QuorumWord::NotYet,
+        }
+    }
+
+    /// Returns where this replica stands in its group.
+    pub fn place_view(&self) -> PlaceView {
+        let standing = *self.standing.borrow();
+        PlaceView { leads: standing.leads, votes: standing.votes, word: self.quorum_word() }
     }
 
     /// Waits until this replica has applied every change accepted before the call.
--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod driver;
 pub mod errors;
 pub mod folder;
+pub mod founder;
 pub mod handle;
 pub mod metrics;
 pub mod operators;
--- a/crates/cherrystream-control/src/place.rs
+++ b/crates/cherrystream-control/src/place.rs
@@ -3,6 +3,7 @@
 use crate::contacts;
 use crate::errors::Result;
 use crate::folder::Folder;
+use crate::founder;
 use crate::metrics::Metrics;
 use crate::peers::Line;
 use crate::recall::{self, Identity};
@@ -108,11 +109,13 @@
         if addresses.is_empty() {
             addresses = places;
         }
-        let may_found = settings.found;
+        // A founder that ends before the group is founded must still found it when it is back.
+        let may_found = settings.found || founder::is_marked(folder)?;
         return Ok(Place { identity: known.identity, addresses, fixed: false, may_found });
     }
     let own = seeds.iter().position(|address| *address == settings.rpc_address);
     if let Some(position) = own.filter(|_| settings.found) {
+        founder::mark(&mut folder.fork())?;
         let identity = Identity { replica: position as u64 + 1, disk: new_disk };
         let addresses = places;
         return Ok(Place { identity, addresses, fixed: false, may_found: true });
@@ -122,6 +125,7 @@
         disk: new_disk.clone(),
         failure_domain: finder.failure_domain.into(),
         stands_by: settings.found,
+        runs_as: None,
     };
     log::info!("control: no place in the group yet; asking {}", seeds.join(", "));
     let standby = Standby::new(seeds);
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -13,6 +13,7 @@
 use crate::platform;
 use crate::reach::Reach;
 use crate::rpc_server::{LedgerLimits, RpcServer};
+use cherrystream_core::raft::asking::Asking;
 use cherrystream_net::interface::OrderInterface;
 use cherrystream_net::key::Secret;
 use cherrystream_net::serve::{self, Phases};
@@ -24,12 +25,8 @@
 use std::time::Duration;
 use tokio::task;
 
-/// Time between questions of a replica whose disk does not count.
-const ASK_AGAIN: Duration = Duration::from_millis(400);
-/// As `ASK_AGAIN`, for a replica that has no word from a quorum although its disk counts by its log.
-const ASK_WHEN_LONELY: Duration = Duration::from_millis(2_000);
-/// Time without word from a quorum after which a replica asks whether its place was given away.
-const LONELY_AFTER: Duration = Duration::from_millis(3_000);
+/// Time between looks at whether to ask for a place.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// What the control role needs besides its settings.
 pub struct Context {
@@ -78,6 +75,7 @@
                 disk: place.identity.disk.clone(),
                 failure_domain: cx.failure_domain.clone(),
                 stands_by: true,
+                runs_as: Some(handle.replica),
             };
             task::spawn(ask_to_be_heard(handle.clone(), request, cx.key.clone()));
         }
@@ -132,25 +130,22 @@
     }
 }
 
-/// Asks the others to let this replica catch up for as long as its disk does not count: a new
-/// leader does not know of a newcomer that an earlier one let in. A replica that hears of no quorum
-/// may have lost its place while it was away; it then starts anew.
+/// Asks the others for this replica's place whenever that is due, and gives it up once a quorum says
+/// that it is lost.
 async fn ask_to_be_heard(handle: Handle, request: JoinRequest, key: Option<Secret>) {
+    let mut asking = Asking::new(handle.clock.now());
     let mut turn = 0;
     loop {
-        let votes = handle.standing.borrow().votes;
-        tokio::time::sleep(if votes { ASK_WHEN_LONELY } else { ASK_AGAIN }).await;
-        if votes && handle.quorum_age() < LONELY_AFTER {
+        tokio::time::sleep(LOOK).await;
+        if !asking.is_due(handle.clock.now(), handle.place_view()) {
             continue;
         }
         let addresses = handle.known_addresses();
         turn += 1;
         let Some(address) = addresses.get(turn % addresses.len().max(1)) else { continue };
         let reply = place::ask(address, &request, key.as_ref()).await;
-        let given = reply.and_then(|reply| reply.replica);
-        if given.is_some_and(|replica| replica != handle.replica) {
+        if reply.is_some_and(|reply| reply.place_lost) {
             let _ = handle.events.send(Event::Replaced);
-            return;
         }
     }
 }
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -8,6 +8,7 @@
 use crate::reach::Reach;
 use cherrystream_core::instances;
 use cherrystream_core::ledger;
+use cherrystream_core::raft::Admission;
 use cherrystream_core::state::Applied;
 use cherrystream_core::units::Revision;
 use cherrystream_net::clock;
@@ -138,11 +139,23 @@
     fn update_since(&self, held: Revision) -> Update {
         let update = self.handle.state.read().update_since(held);
         let control = self.handle.known_addresses();
-        let age = self.handle.quorum_age().as_millis();
-        let quorum_age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+        let age = self.handle.quorum_word().age();
+        let quorum_age_ms =
+            age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
         Update { control, quorum_age_ms, failure_domain: self.failure_domain.clone(), ..update }
     }
 
+    /// Lets a replica in. That a place is lost is said only with a quorum's word, for a replica gives
+    /// its data up on it: a leader that was deposed without knowing could be wrong.
+    async fn admit_by_quorum(&self, req: &JoinRequest) -> Result<Admission, NoResult> {
+        let admission = self.handle.admit(req.clone()).await?;
+        if admission != Admission::Lost {
+            return Ok(admission);
+        }
+        self.handle.read().await?;
+        self.handle.admit(req.clone()).await
+    }
+
     async fn share_anywhere(&self, change: Change) -> Result<(), ErrorObjectOwned> {
         match self.handle.propose(Command::Share { change: change.clone() }).await {
             Ok(_) => Ok(()),
@@ -239,8 +252,8 @@
     }
 
     async fn join(&self, req: JoinRequest) -> RpcResult<JoinReply> {
-        let replica = match self.handle.admit(req.clone()).await {
-            Ok(replica) => replica,
+        let admission = match self.admit_by_quorum(&req).await {
+            Ok(admission) => admission,
             Err(NoResult::NotLeader { leader: Some(leader) }) => {
                 let line = self.lines.get(&leader).ok_or_else(|| self.not_leader(None))?;
                 let client = line.client().await.ok_or_else(|| self.not_leader(None))?;
@@ -250,7 +263,12 @@
         };
         let addresses = self.handle.addresses.read();
         let addresses = addresses.iter().map(|(id, address)| (id.to_string(), address.clone()));
-        Ok(JoinReply { replica, addresses: addresses.collect() })
+        let replica = match admission {
+            Admission::Granted(replica) => Some(replica),
+            Admission::NotNow | Admission::Lost => None,
+        };
+        let place_lost = admission == Admission::Lost;
+        Ok(JoinReply { replica, place_lost, addresses: addresses.collect() })
     }
 
     async fn replace_routes(&self, number: u64, packed: String) -> RpcResult<RouteOrderReply> {
--- a/crates/cherrystream-control/src/standby.rs
+++ b/crates/cherrystream-control/src/standby.rs
@@ -95,7 +95,7 @@
     async fn join(&self, _req: JoinRequest) -> RpcResult<JoinReply> {
         let known = self.known().into_iter().enumerate();
         let addresses = known.map(|(i, address)| (i.to_string(), address)).collect();
-        Ok(JoinReply { replica: None, addresses })
+        Ok(JoinReply { replica: None, place_lost: false, addresses })
     }
 
     async fn replace_routes(&self, _number: u64, _packed: String) -> RpcResult<RouteOrderReply> {
--- a/crates/cherrystream-control/src/store.rs
+++ b/crates/cherrystream-control/src/store.rs
@@ -4,15 +4,17 @@
 //! record of a new file that takes the old one's place by a rename. The disk identifier stands
 //! in the same file, so that it cannot outlive what it vouches for.
 
-use crate::contacts;
 use crate::errors::{self, Error, Result};
 use crate::folder::Folder;
+use crate::founder;
 use crate::records::{Reader, Record, encode};
 use cherrystream_core::raft::Restored;
 use cherrystream_schema::messages::{Entry, HardState, Snapshot};
 
 /// Beginning of the names of log files.
 const PREFIX: &str = "log-";
+/// Put before the names of log files whose replica lost its place.
+const SET_ASIDE: &str = "aside-";
 /// End of the name of a file that is not complete yet.
 const UNFINISHED: &str = ".new";
 
@@ -134,15 +136,23 @@
         self.finish_replace(written, hard, entries)
     }
 
-    /// Removes all files but the members' addresses, so that the folder counts as that of a new disk.
+    /// Sets the log files aside under other names, so that the folder counts as that of a new disk. Those
+    /// that were set aside before are removed: one generation is kept, for people to look at.
     ///
     /// # Errors
     ///
     /// Fails when the disk does.
-    pub fn clear(&mut self) -> Result<()> {
+    pub fn set_aside(&mut self) -> Result<()> {
         let names = self.folder.list().map_err(errors::folder("list the files"))?;
-        for name in names.into_iter().filter(|name| name != contacts::FILE) {
-            self.folder.remove(&name).map_err(errors::folder("remove a file"))?;
+        for name in names.iter().filter(|name| name.starts_with(SET_ASIDE)) {
+            self.folder.remove(name).map_err(errors::folder("remove a file"))?;
+        }
+        // Whoever comes in another's place founds nothing.
+        founder::unmark(&mut self.folder, &names)?;
+        for name in names.iter().filter(|name| number_of(name).is_some()) {
+            let aside = format!("{SET_ASIDE}{name}");
+            self.folder.rename(name, &aside).map_err(errors::folder("rename a file"))?;
+            log::warn!("control: the log of a place that was lost is kept as {aside}");
         }
         self.folder.sync_names().map_err(errors::folder("sync the folder"))
     }
--- /dev/null
+++ b/crates/cherrystream-control/tests/place.rs
@@ -0,0 +1,50 @@
+//! Whether a replica may found its group, after restarts.
+
+use cherrystream_control::folder::DiskFolder;
+use cherrystream_control::founder;
+use cherrystream_control::metrics::Metrics;
+use cherrystream_control::place::{self, Finder, Place};
+use cherrystream_control::store::Store;
+use cherrystream_core::settings;
+use std::path::Path;
+
+/// Finds the place of the first of three seeds.
+async fn find(folder: &Path, found: bool) -> Place {
+    let text = format!(
+        "host: core-1\nfailure_domain: z\nclosed_network: true\ncontrol:\n  rpc_address: \
+         10.0.0.1:7620\n  api_address: 10.0.0.1:8306\n  data_folder: {}\n  found: {found}\n  \
+         seeds: {{addresses: ['10.0.0.1:8306', '10.0.0.2:8306', '10.0.0.3:8306'], rpc_port: \
+         7620}}\n",
+        folder.display()
+    );
+    let all = settings::read(&text).unwrap();
+    let metrics = Metrics::default();
+    let finder = Finder { failure_domain: "z", key: None, metrics: &metrics };
+    let disk = DiskFolder::try_new(folder).unwrap();
+    place::find(all.control.as_ref().unwrap(), &disk, &finder).await.unwrap()
+}
+
+/// Settings say only at the very first start that the group may be founded.
+#[tokio::test]
+async fn a_founder_that_ends_before_the_group_is_founded_may_still_found_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = find(folder.path(), true).await;
+    assert!(first.may_found);
+    let disk = DiskFolder::try_new(folder.path()).unwrap();
+    let (mut store, _) = Store::open(disk, 1, &first.identity.disk).unwrap();
+    let again = find(folder.path(), false).await;
+    assert!(again.may_found);
+    assert_eq!(again.identity, first.identity);
+    store.set_aside().unwrap();
+    let disk = DiskFolder::try_new(folder.path()).unwrap();
+    assert!(!founder::is_marked(&disk).unwrap(), "a place that was lost is not founded anew");
+}
+
+/// One that joined a group holds a place without having founded anything.
+#[tokio::test]
+async fn a_replica_that_joined_founds_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = DiskFolder::try_new(folder.path()).unwrap();
+    Store::open(disk, 1, "joined").unwrap();
+    assert!(!find(folder.path(), false).await.may_found);
+}
--- a/crates/cherrystream-control/tests/standby.rs
+++ b/crates/cherrystream-control/tests/standby.rs
@@ -51,6 +51,7 @@
         disk: "a-blank-disk".into(),
         failure_domain: "z".into(),
         stands_by: true,
+        runs_as: None,
     };
     let asking = async {
         loop {
--- a/crates/cherrystream-control/tests/store.rs
+++ b/crates/cherrystream-control/tests/store.rs
@@ -270,3 +270,18 @@
     assert_eq!(indexes, [1, 2, 3]);
     assert_eq!(found.torn_bytes, 0);
 }
+
+/// What a replica held whose place was given away can still be looked at, and does not pile up.
+#[test]
+fn a_log_that_is_set_aside_is_kept_until_the_next_one() {
+    let folder = FakeFolder::new(Disk::default());
+    for disk in ["first", "second"] {
+        let (mut store, found) = Store::open(folder.clone(), 1, disk).unwrap();
+        assert!(found.restored.entries.is_empty(), "the folder is blank again");
+        assert_eq!(store.disk(), disk);
+        store.append(&Batch { entries: &[entry(1, 1)], hard: Some(&hard(1)) }).unwrap();
+        store.set_aside().unwrap();
+        let names: Vec<String> = folder.disk().after_power_cut(0).now.into_keys().collect();
+        assert_eq!(names, ["aside-log-1"]);
+    }
+}
--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -4,6 +4,8 @@
 //! replica that is gone. It catches up first, and its disk counts from the entry on that names it
 //! (see `disks`), so that letting it in promises nothing yet.
 
+use super::asking::QuorumWord;
+use super::disks::VACANT;
 use super::progress::Progress;
 use super::{Raft, Role};
 use crate::units::Timestamp;
@@ -27,6 +29,19 @@
     pub disk: &'a str,
     /// Whether it stands by; else it comes in the place of another.
     pub stands_by: bool,
+    /// Number that it runs under already. It can use no other one with the data that it holds.
+    pub runs_as: Option<u64>,
+}
+
+/// What a leader says to a replica that asks for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may run under this number.
+    Granted(u64),
+    /// No place is free for it now; it may ask again.
+    NotNow,
+    /// The log names another disk for the place that it runs under, and the leader hears that one.
+    Lost,
 }
 
 /// A newcomer that was let in to catch up.
@@ -56,39 +71,89 @@
 }
 
 impl Raft {
-    /// Lets a newcomer in, and returns the number that it may run under. Only a leader does so;
-    /// `None` says that no number is free here now.
-    pub fn admit(&mut self, now: Timestamp, newcomer: Newcomer<'_>) -> Option<u64> {
-        let id = self.place_for(now, newcomer)?;
-        let Role::Leader(leading) = &mut self.role else { return None };
+    /// Lets a newcomer in to catch up, if a place is free for it. Only a leader does so.
+    pub fn admit(&mut self, now: Timestamp, newcomer: Newcomer<'_>) -> Admission {
+        if newcomer.disk == self.opts.disk {
+            // Its own question came round to it by another replica.
+            return Admission::Granted(self.opts.id);
+        }
+        if self.own_address() == Some(newcomer.address) {
+            return Admission::NotNow;
+        }
+        let id = match newcomer.runs_as {
+            Some(id) if self.lost_place(id, newcomer.disk) => return Admission::Lost,
+            Some(id) => Some(id).filter(|id| self.may_take(now, *id, newcomer)),
+            None => self.place_for(now, newcomer),
+        };
+        let (Some(id), Role::Leader(leading)) = (id, &mut self.role) else {
+            return Admission::NotNow;
+        };
         let Newcomer { address, disk, .. } = newcomer;
         let candidate = Candidate { address: address.into(), disk: disk.into(), heard: now };
         leading.candidates.insert(id, candidate);
-        Some(id)
+        Admission::Granted(id)
+    }
+
+    fn own_address(&self) -> Option<&str> {
+        let first = || self.opts.addresses.get(&self.opts.id).map(String::as_str);
+        self.logged_address(self.opts.id).or_else(first)
+    }
+
+    /// Returns whether a committed entry names another disk for a place, and that disk is there: it
+    /// is this leader's own, or was the last one heard under that number.
+    fn lost_place(&self, id: u64, disk: &str) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        let committed = self.members.as_ref().and_then(|m| m.disks.get(&id.to_string()));
+        let Some(counted) = committed.filter(|d| *d != VACANT && *d != disk) else { return false };
+        if id == self.opts.id {
+            return *counted == self.opts.disk;
+        }
+        leading.progress.get(&id).is_some_and(|p| p.disk.as_ref() == Some(counted))
+    }
+
+    /// Returns whether a replica may run under the number that it asks for.
+    fn may_take(&self, now: Timestamp, id: u64, newcomer: Newcomer<'_>) -> bool {
+        let exists = self.others().contains(&id);
+        let free = || self.is_open(now, id) || self.is_silent(now, id, newcomer.stands_by);
+        exists && (self.is_known(id, newcomer.disk) || free())
     }
 
     fn place_for(&self, now: Timestamp, newcomer: Newcomer<'_>) -> Option<u64> {
-        let Newcomer { address, disk, stands_by } = newcomer;
-        let Role::Leader(leading) = &self.role else { return None };
-        let replaced_after = if stands_by { STANDBY_AFTER } else { REPLACED_AFTER };
+        let Newcomer { address, disk, stands_by, .. } = newcomer;
         let others = self.others();
+        let find = |wanted: &dyn Fn(u64) -> bool| others.iter().copied().find(|id| wanted(*id));
         // A newcomer that asks again gets the same number.
-        let known = |id: &&u64| {
-            self.is_member(**id, disk) || leading.candidates.get(id).is_some_and(|c| c.disk == disk)
-        };
-        let same_host = |id: &&u64| self.logged_address(**id) == Some(address);
-        let silent = |id: &&u64| {
-            let taken = leading.candidates.get(id).is_some_and(|c| c.is_alive(now));
-            let heard = leading.progress.get(id).map(|p| p.heard);
-            !taken && heard.is_some_and(|at| now.since(at) >= replaced_after)
-        };
-        let vacant = |id: &&u64| {
-            let taken = leading.candidates.get(id).is_some_and(|c| c.is_alive(now));
-            !taken && self.is_vacant(**id)
-        };
-        let find = |wanted: &dyn Fn(&&u64) -> bool| others.iter().find(|id| wanted(id)).copied();
-        let free = || find(&vacant).or_else(|| find(&silent));
-        find(&known).or_else(|| find(&same_host)).or_else(free)
+        let known = || find(&|id| self.is_known(id, disk));
+        let same_host = || find(&|id| self.logged_address(id) == Some(address));
+        let open = || find(&|id| self.is_open(now, id));
+        let silent = || find(&|id| self.is_silent(now, id, stands_by));
+        known().or_else(same_host).or_else(open).or_else(silent)
+    }
+
+    /// Returns whether a disk counts for a place, or was let in to catch up for it.
+    fn is_known(&self, id: u64, disk: &str) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        let candidate = leading.candidates.get(&id);
+        self.is_member(id, disk) || candidate.is_some_and(|c| c.disk == disk)
+    }
+
+    /// Returns whether a newcomer is catching up for a place.
+    fn is_taken(&self, now: Timestamp, id: u64) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        leading.candidates.get(&id).is_some_and(|c| c.is_alive(now))
+    }
+
+    /// Returns whether a place is vacant, and nobody is catching up for it.
+    fn is_open(&self, now: Timestamp, id: u64) -> bool {
+        self.is_vacant(id) && !self.is_taken(now, id)
+    }
+
+    /// Returns whether the holder of a place has been silent for so long that another may have it.
+    fn is_silent(&self, now: Timestamp, id: u64, stands_by: bool) -> bool {
+        let Role::Leader(leading) = &self.role else { return false };
+        let replaced_after = if stands_by { STANDBY_AFTER } else { REPLACED_AFTER };
+        let heard = leading.progress.get(&id).map(|p| p.heard);
+        !self.is_taken(now, id) && heard.is_some_and(|at| now.since(at) >= replaced_after)
     }
 
     /// Returns the addresses of all replicas; none where they are fixed.
@@ -109,11 +174,14 @@
         logged.or_else(|| self.opts.addresses.get(&id).cloned())
     }
 
-    /// Returns the time since this replica had word from a leader with a quorum.
-    pub fn quorum_age(&self, now: Timestamp) -> Duration {
+    /// Returns how old the word of a leader with a quorum is here.
+    pub fn quorum_word(&self, now: Timestamp) -> QuorumWord {
         match &self.role {
-            Role::Leader(_) => self.quorum_heard(now),
-            _ => self.heard_leader.map_or(Duration::MAX, |at| now.since(at)),
+            Role::Leader(_) => QuorumWord::Heard { age: self.quorum_heard(now) },
+            _ => match self.heard_leader {
+                Some(at) => QuorumWord::Heard { age: now.since(at) },
+                None => QuorumWord::NotYet,
+            },
         }
     }
 
--- a/crates/cherrystream-core/src/raft/mod.rs
+++ b/crates/cherrystream-core/src/raft/mod.rs
@@ -5,6 +5,7 @@
 //! count, only when an entry of the log names its disk (see `disks`); so a host that was repaired
 //! with a blank disk can never help to elect a leader that lacks an accepted change.
 
+pub mod asking;
 mod disks;
 mod election;
 mod following;
@@ -15,7 +16,7 @@
 mod progress;
 mod replacing;
 
-pub use joining::Newcomer;
+pub use joining::{Admission, Newcomer};
 pub use leading::ReplicaView;
 pub use log::Log;
 
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -1,7 +1,7 @@
 //! Replaced hosts: a newcomer on another address takes the number of a replica that is gone.
 
-use super::raft_world::{Disk, World};
-use cherrystream_core::raft::{Newcomer, Raft};
+use super::raft_world::{Disk, World, address};
+use cherrystream_core::raft::{Admission, Newcomer, Raft};
 use cherrystream_schema::messages::{Command, RaftBody};
 
 use std::time::Duration;
@@ -27,8 +27,11 @@
 fn ask(world: &mut World, disk: &Disk, stands_by: bool) -> Option<u64> {
     let now = world.now;
     let i = leader(world);
-    let newcomer = Newcomer { address: NEW_ADDRESS, disk: &disk.id, stands_by };
-    world.replicas[i].raft.as_mut().unwrap().admit(now, newcomer)
+    let newcomer = Newcomer { address: NEW_ADDRESS, disk: &disk.id, stands_by, runs_as: None };
+    match world.replicas[i].raft.as_mut().unwrap().admit(now, newcomer) {
+        Admission::Granted(replica) => Some(replica),
+        Admission::NotNow | Admission::Lost => None,
+    }
 }
 
 /// A group of three whose replica `.1` is gone for good, and the disk of a newcomer.
@@ -113,7 +116,8 @@
     world.replicas[third].raft = None;
     run(&mut world, 12);
     let raft = world.replicas[i].raft.as_ref().unwrap();
-    assert!(raft.quorum_age(world.now) >= Duration::from_millis(500));
+    let age = raft.quorum_word(world.now).age().expect("no word");
+    assert!(age >= Duration::from_millis(500));
 }
 
 #[test]
@@ -241,3 +245,23 @@
     assert!(raft(gone).is_voter(), "the newcomer has not caught up");
     assert_eq!(raft(gone).commit(), raft(i).commit());
 }
+
+/// A leader is asked for a place by itself: its own question came round to it by another replica.
+#[test]
+fn a_leader_never_gives_a_place_to_its_own_address() {
+    let mut world = World::of(5, 3);
+    run(&mut world, 80);
+    let i = leader(&world);
+    let now = world.now;
+    let own = world.replicas[i].disk.id.clone();
+    let raft = world.replicas[i].raft.as_mut().unwrap();
+    let address = address(i);
+    let mut ask = |disk: &str, runs_as: Option<u64>| {
+        raft.admit(now, Newcomer { address: &address, disk, stands_by: true, runs_as })
+    };
+    let own_place = i as u64 + 1;
+    assert_eq!(ask(&own, None), Admission::Granted(own_place));
+    assert_eq!(ask(&own, Some(own_place)), Admission::Granted(own_place));
+    assert_eq!(ask("another disk", None), Admission::NotNow);
+    assert_eq!(ask("another disk", Some(4)), Admission::NotNow);
+}
--- a/crates/cherrystream-core/tests/raft_random.rs
+++ b/crates/cherrystream-core/tests/raft_random.rs
@@ -3,6 +3,7 @@
 //! The safety conditions are looked at after each step: one leader a term, logs that match, no
 //! committed entry lost, no voter without its past. `RAFT_SEEDS=N` runs N schedules.
 
+mod raft_founding;
 mod raft_joining;
 mod raft_world;
 
@@ -131,9 +132,13 @@
     Ok(())
 }
 
+/// Returns the number of schedules to run.
+fn seeds() -> u32 {
+    std::env::var("RAFT_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(SEEDS)
+}
+
 fn run_schedules(world: fn() -> World) {
-    let seeds = std::env::var("RAFT_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(SEEDS);
-    for seed in 0..seeds {
+    for seed in 0..seeds() {
         arbtest::arbtest(|u| schedule(world(), u))
             .seed((u64::from(seed) << 32) | 0x4000)
             .size_min(0x2000)
--- a/crates/cherrystream-core/tests/raft_world/mod.rs
+++ b/crates/cherrystream-core/tests/raft_world/mod.rs
@@ -3,7 +3,7 @@
 
 mod checks;
 
-use cherrystream_core::raft::{Newcomer, Options, Raft, Restored};
+use cherrystream_core::raft::{Admission, Newcomer, Options, Raft, Restored};
 use cherrystream_core::units::Timestamp;
 use cherrystream_schema::messages::{
     Command, Entry, HardState, HostRecord, Members, RaftBody, RaftMessage, Snapshot,
@@ -39,6 +39,8 @@
     pub number: u64,
     /// Whether another host came in its place.
     pub replaced: bool,
+    /// Whether it has no place, and so does not run.
+    pub placeless: bool,
     pub raft: Option<Raft>,
     pub disk: Disk,
     /// Entries applied, as their proposals' numbers by index.
@@ -94,7 +96,28 @@
 
     /// A group of which only some found it.
     pub fn of(places: usize, founders: usize) -> World {
-        let mut world = World {
+        let mut world = World::empty(places, founders);
+        for number in 1..=places as u64 {
+            world.add(number);
+        }
+        for i in 0..places {
+            world.start(i);
+        }
+        world
+    }
+
+    /// Hosts of which none runs yet; those beyond the founders have no place.
+    pub fn of_hosts(places: usize, founders: usize, hosts: usize) -> World {
+        let mut world = World::empty(places, founders);
+        for i in 0..hosts {
+            world.add(if i < founders { i as u64 + 1 } else { 0 });
+            world.replicas[i].placeless = i >= founders;
+        }
+        world
+    }
+
+    fn empty(places: usize, founders: usize) -> World {
+        World {
             replicas: Vec::new(),
             bag: Vec::new(),
             now: Timestamp::default(),
@@ -109,20 +132,14 @@
             founders,
             places,
             rng: SmallRng::seed_from_u64(1),
-        };
-        for number in 1..=places as u64 {
-            world.add(number);
-        }
-        for i in 0..places {
-            world.start(i);
         }
-        world
     }
 
     fn add(&mut self, number: u64) {
         let disk = self.new_disk();
         let applied = BTreeMap::new();
-        self.replicas.push(Replica { number, replaced: false, raft: None, disk, applied });
+        let (replaced, placeless, raft) = (false, false, None);
+        self.replicas.push(Replica { number, replaced, placeless, raft, disk, applied });
     }
 
     fn options(&self, i: usize, disk: &str) -> Options {
@@ -149,39 +166,51 @@
         }
     }
 
-    /// Those without a place ask the leaders for the one that they run under.
+    /// Those whose disks do not count ask the leaders for their places; one that lost its place asks
+    /// for another one, with a blank disk.
     pub fn ask_for_places(&mut self) {
-        let wanted: Vec<(usize, String)> = self
-            .replicas
-            .iter()
-            .enumerate()
-            .filter(|(_, r)| r.raft.as_ref().is_some_and(|raft| !raft.is_voter()))
-            .map(|(i, r)| (i, r.disk.id.clone()))
-            .collect();
         if self.founders == self.places {
             return;
         }
-        for (i, disk) in &wanted {
-            let now = self.now;
-            let mut rafts = self.replicas.iter_mut().filter_map(|r| r.raft.as_mut());
-            let number = rafts.find_map(|raft| {
-                raft.admit(now, Newcomer { address: &address(*i), disk, stands_by: false })
-            });
-            // A place under another number is taken on a blank disk.
-            if let Some(number) = number.filter(|n| *n != self.replicas[*i].number) {
-                self.replicas[*i].number = number;
-                self.replicas[*i].disk = self.new_disk();
-                self.start(*i);
+        let does_not_vote = |r: &Replica| r.raft.as_ref().is_some_and(|raft| !raft.is_voter());
+        for i in 0..self.replicas.len() {
+            if does_not_vote(&self.replicas[i])
+                && self.ask(i, Some(self.replicas[i].number)) == Admission::Lost
+            {
+                self.replicas[i].raft = None;
+                self.replicas[i].placeless = true;
+                self.replicas[i].disk = self.new_disk();
+            }
+            if self.replicas[i].placeless
+                && let Admission::Granted(number) = self.ask(i, None)
+            {
+                self.replicas[i].placeless = false;
+                self.replicas[i].number = number;
+                self.start(i);
             }
         }
     }
 
+    /// Asks one leader after the other for a place, and returns the first word that is not "not now".
+    fn ask(&mut self, i: usize, runs_as: Option<u64>) -> Admission {
+        let now = self.now;
+        let disk = self.replicas[i].disk.id.clone();
+        let address = address(i);
+        let newcomer = Newcomer { address: &address, disk: &disk, stands_by: false, runs_as };
+        let rafts = self.replicas.iter_mut().filter_map(|r| r.raft.as_mut());
+        let mut answers = rafts.map(|raft| raft.admit(now, newcomer));
+        answers.find(|answer| *answer != Admission::NotNow).unwrap_or(Admission::NotNow)
+    }
+
     pub fn new_disk(&mut self) -> Disk {
         self.disks += 1;
         Disk { id: format!("disk-{}", self.disks), ..Disk::default() }
     }
 
     pub fn start(&mut self, i: usize) {
+        if self.replicas[i].placeless {
+            return;
+        }
         // Connections end with a process, so what was on its way to the one before is lost. The
         // log bears such messages all the same; founding relies on it.
         let number = self.replicas[i].number;
