--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -73,6 +73,9 @@
 impl Raft {
     /// Lets a newcomer in to catch up, if a place is free for it. Only a leader does so.
     pub fn admit(&mut self, now: Timestamp, newcomer: Newcomer<'_>) -> Admission {
+        if !self.is_leader() {
+            return Admission::NotNow;
+        }
         if newcomer.disk == self.opts.disk {
             // Its own question came round to it by another replica.
             return Admission::Granted(self.opts.id);
