In time is told by the clock of the caller; what can be in time goes first

Cause: a caller that comes back counts its target from its first question, but each attempt was judged as if it were the first.

Change: outbounds learn which patience is usual of a kind's first questions, and so how long ago a caller first asked (core::first_asked); doors rank by called, in time, weight (admission::Rank, which replaces the added weight of calls).

Tests: first_asked::*, overload::what_can_be_in_time_goes_before_what_cannot.

--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -2,9 +2,8 @@
 
 mod request;
 
-pub use request::{Action, Arrival, Options, Refusal, Ticket, Verdict};
+pub use request::{Action, Arrival, Options, Rank, Refusal, Ticket, Verdict};
 
-use crate::kinds;
 use crate::pace::Pace;
 use crate::reasons::Reason;
 use crate::reserve::Reserve;
@@ -23,7 +22,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
-    weight: Reverse<u32>,
+    rank: Reverse<Rank>,
     ticket: Ticket,
 }
 
@@ -31,7 +30,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     since: Timestamp,
-    weight: u32,
+    called: bool,
 }
 
 /// The door to one backend server.
@@ -85,27 +84,27 @@
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        let called = kinds::is_called(arrival.weight);
-        if self.is_next(arrival.weight) && self.has_slot(now, arrival.weight) {
-            self.note_call(now, arrival.weight);
-            self.start(now, ticket, arrival.weight);
+        let rank = arrival.rank(now);
+        if self.is_next(rank) && self.has_slot(now, rank.called) {
+            self.note_call(now, rank.called);
+            self.start(now, ticket, rank.called);
             return (Verdict::Run(ticket), actions);
         }
         // A call's parent is wasted without it, so it waits whatever the odds.
-        if !called && self.expected_wait(arrival.weight) > remaining {
+        if !rank.called && self.expected_wait(rank) > remaining {
             return (Verdict::Refuse(self.refusal(Reason::QueueTooLong)), actions);
         }
-        if !called && self.waiting.len() >= self.opts.queue as usize {
-            match self.shed_below(arrival.weight) {
+        if !rank.called && self.waiting.len() >= self.opts.queue as usize {
+            match self.shed_below(rank) {
                 Some(shed) => {
-                    // Only lighter requests are shed, and calls are the heaviest.
+                    // Only requests of a lower rank are shed, and calls have the highest.
                     actions.push(Action::Refuse(shed, self.refusal(Reason::ShedByWeight)));
                 }
                 None => return (Verdict::Refuse(self.refusal(Reason::QueueFull)), actions),
             }
         }
-        self.note_call(now, arrival.weight);
-        self.waiting.insert(Place { weight: Reverse(arrival.weight), ticket }, arrival.deadline);
+        self.note_call(now, rank.called);
+        self.waiting.insert(Place { rank: Reverse(rank), ticket }, arrival.deadline);
         (Verdict::Wait(ticket), actions)
     }
 
@@ -113,7 +112,7 @@
     pub fn finish(&mut self, now: Timestamp, ticket: Ticket, answered: bool) -> Vec<Action> {
         let ended = self.running.remove(&ticket);
         if let Some(running) = ended {
-            self.forget_call(now, running.weight);
+            self.forget_call(now, running.called);
         }
         if let Some(running) = ended
             && answered
@@ -148,7 +147,7 @@
             self.pace.on_turned_down();
             return true;
         }
-        !self.is_next(arrival.weight) || !self.has_slot(now, arrival.weight)
+        !self.is_next(arrival.rank(now)) || !self.has_slot(now, arrival.called)
     }
 
     /// Notes that a waiting request's caller has gone.
@@ -156,7 +155,7 @@
         let found = self.waiting.keys().find(|place| place.ticket == ticket).copied();
         if let Some(place) = found {
             self.waiting.remove(&place);
-            self.forget_call(now, place.weight.0);
+            self.forget_call(now, place.rank.0.called);
         }
     }
 
@@ -180,7 +179,7 @@
         let mut actions = Vec::new();
         for place in late {
             self.waiting.remove(&place);
-            self.forget_call(now, place.weight.0);
+            self.forget_call(now, place.rank.0.called);
             actions.push(Action::Refuse(place.ticket, refusal));
         }
         actions.extend(self.fill(now));
@@ -247,52 +246,56 @@
         ((f64::from(self.opts.slots) * self.opts.share) as u32).max(1)
     }
 
-    /// Returns whether there is a slot for a request of this weight.
-    fn has_slot(&mut self, now: Timestamp, weight: u32) -> bool {
+    /// Returns whether there is a slot for a request, which may be a call by a running one.
+    fn has_slot(&mut self, now: Timestamp, called: bool) -> bool {
         let slots = self.slots_now(now);
-        if kinds::is_called(weight) {
+        if called {
             return self.running.len() < slots as usize;
         }
-        let calls = self.running.values().filter(|r| kinds::is_called(r.weight)).count();
+        let calls = self.running.values().filter(|r| r.called).count();
         let kept_free = self.reserve.kept_free(now, slots, calls as u32);
         self.running.len() < slots.saturating_sub(kept_free) as usize
     }
 
-    /// Returns whether no other request waits that goes before one of this weight.
-    fn is_next(&self, weight: u32) -> bool {
-        self.waiting.keys().next().is_none_or(|place| place.weight.0 < weight)
+    /// Returns whether no other request waits that goes before one of this rank.
+    fn is_next(&self, rank: Rank) -> bool {
+        self.waiting.keys().next().is_none_or(|place| place.rank.0 < rank)
     }
 
-    fn note_call(&mut self, now: Timestamp, weight: u32) {
-        if kinds::is_called(weight) {
+    fn note_call(&mut self, now: Timestamp, called: bool) {
+        if called {
             self.reserve.on_offer(now);
         }
     }
 
-    fn forget_call(&mut self, now: Timestamp, weight: u32) {
-        if kinds::is_called(weight) {
+    fn forget_call(&mut self, now: Timestamp, called: bool) {
+        if called {
             self.reserve.on_end(now);
         }
     }
 
-    fn start(&mut self, now: Timestamp, ticket: Ticket, weight: u32) {
-        self.running.insert(ticket, Running { since: now, weight });
+    fn start(&mut self, now: Timestamp, ticket: Ticket, called: bool) {
+        self.running.insert(ticket, Running { since: now, called });
     }
 
-    fn expected_wait(&self, weight: u32) -> Duration {
-        let ahead = self.waiting.keys().filter(|place| place.weight.0 >= weight).count();
+    /// Returns the time until a request of this rank has its turn.
+    fn expected_wait(&self, rank: Rank) -> Duration {
+        self.wait_behind(self.waiting.keys().filter(|place| place.rank.0 >= rank).count())
+    }
+
+    fn wait_behind(&self, ahead: usize) -> Duration {
         self.latency.mul_f64((ahead + 1) as f64 / f64::from(self.slots_used()))
     }
 
     fn refusal(&self, reason: Reason) -> Refusal {
-        let retry_after = self.expected_wait(0).max(RETRY_AFTER_AT_LEAST);
+        let retry_after = self.wait_behind(self.waiting.len()).max(RETRY_AFTER_AT_LEAST);
         Refusal { reason, retry_after }
     }
 
-    /// Takes the youngest of the lightest requests out of the queue, if it is lighter.
-    fn shed_below(&mut self, weight: u32) -> Option<Ticket> {
+    /// Takes the youngest request of the lowest rank out of the queue, if that is lower.
+    fn shed_below(&mut self, rank: Rank) -> Option<Ticket> {
         let last = *self.waiting.keys().next_back()?;
-        if last.weight.0 >= weight {
+        if last.rank.0 >= rank {
             return None;
         }
         self.waiting.remove(&last);
@@ -303,7 +306,7 @@
         let refusal = self.refusal(reason);
         let waiting = std::mem::take(&mut self.waiting);
         for place in waiting.keys() {
-            self.forget_call(now, place.weight.0);
+            self.forget_call(now, place.rank.0.called);
         }
         waiting.into_keys().map(|place| Action::Refuse(place.ticket, refusal)).collect()
     }
@@ -316,16 +319,16 @@
         let mut actions = Vec::new();
         while self.closed().is_none()
             && let Some((place, deadline)) = self.first_waiting()
-            && self.has_slot(now, place.weight.0)
+            && self.has_slot(now, place.rank.0.called)
         {
             self.waiting.remove(&place);
             if deadline <= now {
-                self.forget_call(now, place.weight.0);
+                self.forget_call(now, place.rank.0.called);
                 let refusal = self.refusal(Reason::DeadlineBeforeStart);
                 actions.push(Action::Refuse(place.ticket, refusal));
                 continue;
             }
-            self.start(now, place.ticket, place.weight.0);
+            self.start(now, place.ticket, place.rank.0.called);
             actions.push(Action::Start(place.ticket));
         }
         actions
--- a/crates/cherrystream-core/src/admission/request.rs
+++ b/crates/cherrystream-core/src/admission/request.rs
@@ -27,9 +27,22 @@
     }
 }
 
+/// Which of two requests goes first: the fields count in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Whether a running request waits for it, and is wasted without it.
+    pub called: bool,
+    /// Whether its answer can still be in time.
+    pub in_time: bool,
+    /// Weight when load is shed; the lowest goes first.
+    pub weight: u32,
+}
+
 /// A request that asks to be let in.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
+    /// Whether it is a call by a running request.
+    pub called: bool,
     /// Weight when load is shed; the lowest goes first.
     pub weight: u32,
     /// When the call ends.
@@ -43,6 +56,16 @@
     pub usual: Option<Duration>,
 }
 
+impl Arrival {
+    /// Returns its rank at a time. A request of which it is not known when it is in time counts as one
+    /// that can be.
+    pub fn rank(&self, now: Timestamp) -> Rank {
+        let usual = self.usual.unwrap_or_default();
+        let in_time = self.good_until.is_none_or(|until| now + usual < until);
+        Rank { called: self.called, in_time, weight: self.weight }
+    }
+}
+
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
--- a/crates/cherrystream-core/src/kinds.rs
+++ b/crates/cherrystream-core/src/kinds.rs
@@ -8,14 +8,6 @@
 /// Weight of a request whose kind no operator has described.
 pub const DEFAULT_WEIGHT: u32 = 1;
 
-/// What a call by a running request weighs beyond others.
-pub const CALLED_WEIGHT: u32 = 10_000;
-
-/// Returns whether a weight is that of a call by a running request.
-pub const fn is_called(weight: u32) -> bool {
-    weight >= CALLED_WEIGHT
-}
-
 /// What the balancer must know of a request before it sends it on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Treatment {
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choose;
 pub mod deadline;
 pub mod errors;
+pub mod first_asked;
 pub mod instances;
 pub mod kinds;
 pub mod ledger;
--- a/crates/cherrystream-core/tests/decisions.rs
+++ b/crates/cherrystream-core/tests/decisions.rs
@@ -20,6 +20,7 @@
     let mut door = Admission::new(opts);
     let mut s = Session::default();
     let arrival = |weight, deadline| Arrival {
+        called: false,
         weight,
         deadline: ms(deadline),
         selective: false,
--- a/crates/cherrystream-core/tests/overload.rs
+++ b/crates/cherrystream-core/tests/overload.rs
@@ -2,7 +2,6 @@
 
 use cherrystream_core::admission::{self, Admission, Arrival, Verdict};
 use cherrystream_core::callers::Callers;
-use cherrystream_core::kinds::CALLED_WEIGHT;
 use cherrystream_core::log_budget::LogBudget;
 use cherrystream_core::pace::Pace;
 use cherrystream_core::reasons::Reason;
@@ -20,7 +19,12 @@
 }
 
 fn arrival(weight: u32, selective: bool) -> Arrival {
-    Arrival { weight, deadline: ms(60_000), selective, good_until: None, usual: None }
+    let (called, deadline) = (false, ms(60_000));
+    Arrival { called, weight, deadline, selective, good_until: None, usual: None }
+}
+
+fn call(selective: bool) -> Arrival {
+    Arrival { called: true, ..arrival(1, selective) }
 }
 
 fn reason(verdict: Verdict) -> Option<Reason> {
@@ -108,7 +112,7 @@
     let mut door = door(10);
     // For two seconds, one call runs at any moment.
     for at in 0..100 {
-        let Verdict::Run(ticket) = door.arrive(ms(at * 20), arrival(CALLED_WEIGHT, true)).0 else {
+        let Verdict::Run(ticket) = door.arrive(ms(at * 20), call(true)).0 else {
             panic!("a call finds no slot");
         };
         door.finish(ms(at * 20 + 19), ticket, true);
@@ -117,7 +121,7 @@
         .filter(|_| matches!(door.arrive(ms(2_000), arrival(1, true)).0, Verdict::Run(_)))
         .count();
     assert_eq!(started, 7, "one of the eight slots is kept free");
-    assert!(matches!(door.arrive(ms(2_001), arrival(CALLED_WEIGHT, true)).0, Verdict::Run(_)));
+    assert!(matches!(door.arrive(ms(2_001), call(true)).0, Verdict::Run(_)));
     // Once no call has come for a while, all slots are for everybody.
     assert!(matches!(door.arrive(ms(9_000), arrival(1, true)).0, Verdict::Refuse(_)));
 }
@@ -127,7 +131,7 @@
     let mut door = door(2);
     let Verdict::Run(first) = door.arrive(ms(1), arrival(1, false)).0 else { panic!() };
     let Verdict::Wait(other) = door.arrive(ms(2), arrival(1, false)).0 else { panic!() };
-    let Verdict::Wait(call) = door.arrive(ms(3), arrival(CALLED_WEIGHT, false)).0 else { panic!() };
+    let Verdict::Wait(call) = door.arrive(ms(3), call(false)).0 else { panic!() };
     assert_eq!(door.finish(ms(9), first, true), [admission::Action::Start(call)]);
     assert_eq!(door.finish(ms(12), call, true), [admission::Action::Start(other)]);
 }
@@ -160,3 +164,16 @@
         assert!(!callers.on_request(ms(i), &name("checks"), &name("edge")));
     }
 }
+
+/// An answer that will be late anyway is worth less than one that can be in time, so it waits behind.
+#[test]
+fn what_can_be_in_time_goes_before_what_cannot() {
+    let mut door = door(1);
+    let usual = Some(Duration::from_millis(300));
+    let until = |millis| Arrival { good_until: Some(ms(millis)), usual, ..arrival(1, false) };
+    let Verdict::Run(first) = door.arrive(ms(0), until(800)).0 else { panic!() };
+    let Verdict::Wait(late) = door.arrive(ms(1), until(200)).0 else { panic!() };
+    let Verdict::Wait(in_time) = door.arrive(ms(2), until(800)).0 else { panic!() };
+    assert_eq!(door.finish(ms(10), first, true), [admission::Action::Start(in_time)]);
+    assert_eq!(door.finish(ms(20), in_time, true), [admission::Action::Start(late)]);
+}
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -11,7 +11,6 @@
 use cherrystream_core::admission::Arrival;
 use cherrystream_core::attempts::{Attempts, Claimed, RequestKey};
 use cherrystream_core::deadline::Deadline;
-use cherrystream_core::kinds;
 use cherrystream_core::measuring::Check;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::reservations::{Reservation, Reservations};
@@ -220,15 +219,19 @@
         let called = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
         // The request that waits for the call is wasted without it, so the call is not given up
         // before its deadline.
-        let (weight, deadline) = if called {
-            (call.weight + kinds::CALLED_WEIGHT, call.deadline.at())
-        } else {
-            let patience = self.clock.now() + call.wait_at_most;
-            (call.weight, call.deadline.at().min(patience))
+        let now = self.clock.now();
+        let deadline = match called {
+            true => call.deadline.at(),
+            false => call.deadline.at().min(now + call.wait_at_most),
+        };
+        let arrival = Arrival {
+            called,
+            weight: call.weight,
+            deadline,
+            selective: call.selective,
+            good_until: call.good_for.map(|time| now + time),
+            usual: None,
         };
-        let good_until = call.good_for.map(|time| self.clock.now() + time);
-        let arrival =
-            Arrival { weight, deadline, selective: call.selective, good_until, usual: None };
         door.enter(arrival, &call.kind).await.map_err(|refusal| {
             let refused = self.refuse(refusal.reason);
             Refused { retry_after: refusal.retry_after, ..refused }
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -16,6 +16,7 @@
 use crate::request_log::{RequestLog, RequestSummary};
 use crate::sync::Newer;
 use cherrystream_core::choose::{self, Distance, ServerId, Table};
+use cherrystream_core::first_asked::FirstAsked;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::retry::{self, Failed, RetryBudget};
 use cherrystream_core::routes::{NamedRoute, RouteIndex};
@@ -89,6 +90,8 @@
     /// Service of the backend server beside this daemon.
     pub(crate) caller_service: Option<Arc<str>>,
     pub(crate) routes: RwLock<Arc<RouteIndex>>,
+    /// Patience of callers by kind of request. Taken with no other lock.
+    pub(crate) first_asked: Mutex<FirstAsked>,
     pub(crate) key: Option<Secret>,
     pub(crate) phases: Phases,
     pub(crate) clock: Clock,
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -206,6 +206,8 @@
         return Err(Refused::new(Reason::BodyTooLarge));
     }
     let target_latency = route.as_ref().map(|r| Duration::from_micros(r.route.target_us));
+    // An answer is in time by the clock of the caller, which may have asked before.
+    let asked_before = first_asked(outbound, &treatment, head.time_left);
     let repeatable = route.as_ref().is_some_and(|r| r.route.repeatable);
     let hedge_after =
         target_latency.filter(|_| repeatable).map(|latency| latency.mul_f64(HEDGE_PART));
@@ -229,11 +231,22 @@
         selective_offers,
         hedge_after,
         arrivals_at_most: route.as_ref().map_or(u32::MAX, |r| r.route.attempts_at_most),
-        good_until: target_latency.map(|latency| now + latency),
+        good_until: target_latency.map(|latency| now + latency.saturating_sub(asked_before)),
         patience: target_latency.map(|latency| now + latency / PATIENCE_PART),
     })
 }
 
+/// Returns how long ago the caller first asked, as far as that can be told.
+fn first_asked(
+    outbound: &Outbound,
+    treatment: &Treatment,
+    time_left: Option<Duration>,
+) -> Duration {
+    let Some(left) = time_left else { return Duration::ZERO };
+    let kind: Arc<str> = treatment.kind.as_str().into();
+    outbound.first_asked.lock().on_request(outbound.clock.now(), &kind, left)
+}
+
 /// Where a request goes, and how it is treated.
 struct Aim {
     service: Arc<str>,
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -101,6 +101,7 @@
             routes_only,
             caller_service: settings.service.as_deref().map(Into::into),
             routes: RwLock::default(),
+            first_asked: Mutex::default(),
             key: cx.key.clone(),
             phases: cx.phases.clone(),
             clock,
