A request with a long body stays in its own failure domain while its answer can still be in time

Hypothesis: the cost of crossing grows with the bytes that cross.

Test: offers::a_long_body_is_offered_nearby_again_and_again_while_that_is_sound.

--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -75,6 +75,26 @@
         from.get(chosen).map(|s| s.id.clone())
     }
 
+    /// Chooses a sound backend server of the own failure domain, or tells how long all of them are taken
+    /// for busy.
+    pub fn choose_nearby(
+        &mut self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        tried: &[Arc<str>],
+        kind: &str,
+    ) -> Nearby {
+        let near = takers(&self.servers, now, tried, |s| s.is_near() && s.is_sound(now));
+        let is_free = |s: &&Server| !s.is_taken_for_busy(now, kind);
+        let free: Vec<&Server> = near.iter().copied().filter(is_free).collect();
+        let chosen = self.choose.choose(now, rng, &free).and_then(|i| free.get(i));
+        if let Some(server) = chosen {
+            return Nearby::Free(server.id.clone());
+        }
+        let soonest = near.iter().map(|s| s.is_taken_for_busy_for(now, kind)).min();
+        soonest.map_or(Nearby::None, Nearby::BusyFor)
+    }
+
     /// Chooses a backend server of the own failure domain where a request that waits has its turn within
     /// a time.
     pub fn choose_near_within(
@@ -126,6 +146,17 @@
     }
 }
 
+/// What the own failure domain has for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Nearby {
+    /// A backend server that is not taken for busy.
+    Free(ServerId),
+    /// Sound ones, but all are taken for busy for at least this time.
+    BusyFor(Duration),
+    /// None that is sound.
+    None,
+}
+
 /// Returns the backend servers that take work, were not tried, and fit.
 fn takers<'a>(
     servers: &'a [Server],
--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -158,6 +158,11 @@
         !self.refusals.busy_for(now, kind).is_zero()
     }
 
+    /// Returns how long an offer there would only be turned down.
+    pub fn is_taken_for_busy_for(&self, now: Timestamp, kind: &str) -> Duration {
+        self.refusals.busy_for(now, kind)
+    }
+
     /// Returns how long a request would only be refused there.
     pub fn is_taken_for_full_for(&self, now: Timestamp, kind: &str) -> Duration {
         self.refusals.full_for(now, kind)
--- a/crates/cherrystream-core/tests/offers.rs
+++ b/crates/cherrystream-core/tests/offers.rs
@@ -1,6 +1,6 @@
 //! Where a request with a choice is offered first.
 
-use cherrystream_core::choose::{self, Distance, ServerId, Table};
+use cherrystream_core::choose::{self, Distance, Nearby, ServerId, Table};
 use cherrystream_core::units::Timestamp;
 use cherrystream_schema::messages::{Report, ServerState};
 use cherrystream_schema::settings::ChoicePolicy;
@@ -157,3 +157,22 @@
     (0..5).for_each(|_| near.on_error(ms(1_012)));
     assert_eq!(waits_near(&mut table, 1_013, 30), None);
 }
+
+/// What a request with a long body is told of its own failure domain.
+#[test]
+fn a_long_body_is_offered_nearby_again_and_again_while_that_is_sound() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut table =
+        table(vec![server("near", Distance::SameDomain), server("far", Distance::SameRegion)]);
+    let mut nearby = |table: &mut Table, at| table.choose_nearby(ms(at), &mut rng, &[], "upload");
+    let name = |nearby: Nearby| match nearby {
+        Nearby::Free(server) => Some(server.name.to_string()),
+        _ => None,
+    };
+    assert_eq!(name(nearby(&mut table, 1_000)).as_deref(), Some("near"));
+    table.server("near").unwrap().on_busy(ms(1_000), "upload", Duration::from_millis(40));
+    assert_eq!(nearby(&mut table, 1_010), Nearby::BusyFor(Duration::from_millis(30)));
+    assert_eq!(name(nearby(&mut table, 1_041)).as_deref(), Some("near"));
+    table.server("near").unwrap().on_closed(ms(1_050));
+    assert_eq!(nearby(&mut table, 1_060), Nearby::None, "it waits for none that takes no work");
+}
--- a/crates/cherrystream-daemon/src/outbound/choosing.rs
+++ b/crates/cherrystream-daemon/src/outbound/choosing.rs
@@ -3,14 +3,53 @@
 use super::request::Call;
 use super::{Choosing, Outbound};
 use crate::refusal::Refused;
-use cherrystream_core::choose::{Distance, ServerId};
+use cherrystream_core::choose::{Distance, Nearby, ServerId};
 use cherrystream_core::reasons::Reason;
 use std::time::Duration;
 
 /// Part of the time that a request may wait for a slot in which it rather waits nearby.
 const NEAR_WAIT_PART: f64 = 0.5;
+/// Shortest time between offers of one request in its own failure domain.
+const OFFER_AGAIN_AFTER: Duration = Duration::from_millis(20);
+/// As `OFFER_AGAIN_AFTER`, the longest: a backend server that works slowly is asked for its pace as often.
+const OFFER_AGAIN_WITHIN: Duration = Duration::from_millis(60);
+
+/// Where a request goes next.
+pub(super) enum Next {
+    /// To this backend server now.
+    Server(ServerId),
+    /// Nowhere yet: it is better chosen for after this time.
+    Later(Duration),
+}
 
 impl Outbound {
+    /// Chooses where a request goes next: one with a long body rather waits in its own failure domain for
+    /// a while than leaves it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the final refusal when there is no backend server to go to.
+    pub(super) fn choose_next(&self, call: &mut Call) -> Result<Next, Refused> {
+        let now = self.clock.now();
+        if !call.stays_nearby(now) {
+            return self.choose(call).map(Next::Server);
+        }
+        let table = self.table(&call.service).ok_or(Refused::new(Reason::NoSuchService))?;
+        let kind = call.treatment.kind.as_str();
+        let mut choosing = table.lock();
+        let Choosing { table, rng, .. } = &mut *choosing;
+        let busy_for = match table.choose_nearby(now, rng, &call.tried, kind) {
+            Nearby::Free(server) => return Ok(Next::Server(server)),
+            Nearby::BusyFor(time) => Some(time),
+            Nearby::None => None,
+        };
+        drop(choosing);
+        match busy_for {
+            Some(time) => Ok(Next::Later(time.clamp(OFFER_AGAIN_AFTER, OFFER_AGAIN_WITHIN))),
+            None => self.choose(call).map(Next::Server),
+        }
+    }
+
     /// Chooses the backend server for the next attempt.
     ///
     /// # Errors
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -28,6 +28,7 @@
 use cherrystream_net::serve::{Phase, Phases};
 use cherrystream_schema::messages::{HostRecord, Instance, ServerState, Shared};
 use cherrystream_schema::settings::ChoicePolicy;
+use choosing::Next;
 use http::{Request, Response, header};
 use hyper::body::Incoming;
 use parking_lot::{Mutex, RwLock};
@@ -145,7 +146,13 @@
     /// Tries backend servers until one answers or no further attempt is allowed.
     async fn run(&self, call: &mut Call, held: &Held) -> Tried {
         loop {
-            let server = self.choose(call)?;
+            let server = match self.choose_next(call)? {
+                Next::Server(server) => server,
+                Next::Later(wait) => {
+                    tokio::time::sleep(wait).await;
+                    continue;
+                }
+            };
             let selective = call.is_selective();
             let tried = self.attempt_hedged(call, held, &server).await;
             let busy = matches!(&tried, Err(refused) if refused.reason == Reason::BusyNow);
@@ -155,8 +162,10 @@
             match tried {
                 Ok(res) => return Ok(res),
                 Err(refused) if refused.reason == Reason::BusyNow && call.is_selective() => {
-                    call.selective_offers -= 1;
-                    call.busy.push(server.name.clone());
+                    if !call.stays_nearby(self.clock.now()) {
+                        call.selective_offers -= 1;
+                        call.busy.push(server.name.clone());
+                    }
                 }
                 Err(refused) => self.weigh_retry(call, refused)?,
             }
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -34,6 +34,14 @@
 /// Part of its target latency that a request may wait before it is offered to a backend server: one
 /// that is refused after a fifth can still come back in time.
 const PATIENCE_PART: u32 = 5;
+/// Length of a body that costs as much between failure domains as `crossing_cost_ms` is worth: that of some
+/// ten requests without one.
+const CROSSING_BYTES: f64 = 16.0 * 1024.0;
+/// Shortest stay that is worth a further offer: a shorter one would only delay the request.
+const NEARBY_AT_LEAST: Duration = Duration::from_millis(60);
+/// Part of the time in which its answer is good that a request stays in its own failure domain at most: as
+/// much is left to be in time elsewhere.
+const NEARBY_PART: f64 = 0.5;
 /// Backend servers that a request is offered to before it takes what it gets.
 const SELECTIVE_OFFERS: u32 = 4;
 /// Part of its target latency after which a second attempt may join the first one.
@@ -81,6 +89,8 @@
     pub(super) good_until: Option<Timestamp>,
     /// Until when it may wait for a slot, where that is less than the deadline.
     pub(super) patience: Option<Timestamp>,
+    /// Until when it stays in its own failure domain, where its body is long.
+    pub(super) nearby_until: Option<Timestamp>,
 }
 
 impl Call {
@@ -89,6 +99,12 @@
         self.selective_offers > 0
     }
 
+    /// Returns whether it stays in its own failure domain for now.
+    pub(super) fn stays_nearby(&self, now: Timestamp) -> bool {
+        let soon = |until: Timestamp| until.since(now) > Duration::ZERO;
+        self.is_selective() && self.nearby_until.is_some_and(soon)
+    }
+
     /// Returns the request once more, for a second attempt while the first one runs.
     pub(super) fn fork_for_hedge(&self) -> Option<Call> {
         self.hedge_after?;
@@ -117,6 +133,7 @@
             hedge_after: self.hedge_after,
             good_until: self.good_until,
             patience: self.patience,
+            nearby_until: None,
         })
     }
 
@@ -167,6 +184,15 @@
         }
     }
 
+    /// Returns the bytes that will travel, at least.
+    fn bytes(&self) -> usize {
+        match self {
+            Replay::Whole(bytes) => bytes.len(),
+            Replay::Stream(Some(_)) => HELD_BYTES,
+            Replay::Stream(None) => 0,
+        }
+    }
+
     /// Takes a body that can be sent once only, if nobody has.
     pub(super) fn take_stream(&mut self) -> Option<Body> {
         match self {
@@ -211,6 +237,12 @@
     let repeatable = route.as_ref().is_some_and(|r| r.route.repeatable);
     let hedge_after =
         target_latency.filter(|_| repeatable).map(|latency| latency.mul_f64(HEDGE_PART));
+    let good_until = target_latency.map(|latency| now + latency.saturating_sub(asked_before));
+    let nearby = worth_of_staying(outbound.crossing_cost, body.bytes());
+    let nearby_until = good_until.filter(|_| nearby >= NEARBY_AT_LEAST).map(|until| {
+        let half = until.since(now).mul_f64(NEARBY_PART);
+        now + nearby.min(half)
+    });
     let uri = target(&parts)?;
     let selective_offers = if route.is_some() { SELECTIVE_OFFERS } else { 0 };
     Ok(Call {
@@ -231,7 +263,8 @@
         selective_offers,
         hedge_after,
         arrivals_at_most: route.as_ref().map_or(u32::MAX, |r| r.route.attempts_at_most),
-        good_until: target_latency.map(|latency| now + latency.saturating_sub(asked_before)),
+        good_until,
+        nearby_until,
         patience: target_latency.map(|latency| now + latency / PATIENCE_PART),
     })
 }
@@ -247,6 +280,12 @@
     outbound.first_asked.lock().on_request(outbound.clock.now(), &kind, left)
 }
 
+/// Returns the time that a request rather stays in its own failure domain than has a body of this length
+/// leave it.
+fn worth_of_staying(crossing_cost: Duration, bytes: usize) -> Duration {
+    crossing_cost.mul_f64(bytes as f64 / CROSSING_BYTES)
+}
+
 /// Where a request goes, and how it is treated.
 struct Aim {
     service: Arc<str>,
