Trees of calls: a request is turned down before it starts where more urgent ones do not get in

Change: daemons learn which services each kind leads to (core::call_trees; the word of whoever answers a call carries what it leads to in turn) and the shares of their callers' kinds (core::fair_share). A kind that gets in more often than more urgent ones do where it leads to is turned down before it starts.

--- a/crates/cherrystream-daemon/src/hop.rs
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -11,6 +11,7 @@
 use cherrystream_schema::messages::Report;
 use http::{HeaderMap, Response};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What differs from call to call, as the outbound says it.
@@ -102,6 +103,17 @@
     res
 }
 
+/// Writes that a request is taken for a call by a running one, and which services it leads to.
+pub fn write_called(map: &mut HeaderMap, leads_to: &[Arc<str>]) {
+    headers::set(map, headers::CALLED, leads_to.join(","));
+}
+
+/// Reads what [`write_called`] wrote.
+pub fn read_called(map: &HeaderMap) -> Option<Vec<Arc<str>>> {
+    let text = headers::text(map, &headers::CALLED)?;
+    Some(text.split(',').filter(|name| !name.is_empty()).map(Into::into).collect())
+}
+
 /// Writes the slot that is kept for a call, or why there is none.
 pub fn write_reservation(
     call: String,
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -7,6 +7,7 @@
 use crate::held::HeldCell;
 use crate::metrics::{self, Metrics, ServerLabel};
 use crate::refusal::Refused;
+use crate::trees::Trees;
 use bytes::Bytes;
 use cherrystream_core::admission::Arrival;
 use cherrystream_core::attempts::{Attempts, Claimed, RequestKey};
@@ -67,6 +68,8 @@
     pub result: Result<Response<Body>, Refused>,
     /// Report on the backend server, if it is here.
     pub report: Option<Report>,
+    /// Services that the request leads to, if it is taken for a call by a running one.
+    pub called: Option<Vec<Arc<str>>>,
 }
 
 /// Whether a slot is kept for a call, with a report on the backend server.
@@ -109,6 +112,7 @@
     pub(crate) attempts: Mutex<Attempts<HeldAnswer>>,
     /// Slots kept for calls whose bodies follow. Taken before a door's admission, never with it.
     pub(crate) reservations: Mutex<Reservations<Permit>>,
+    pub(crate) trees: Arc<Trees>,
     pub(crate) held: Arc<HeldCell>,
     pub(crate) host: Arc<str>,
     pub(crate) phases: Phases,
@@ -122,13 +126,16 @@
     /// Passes a request to its backend server.
     pub async fn call(self: &Arc<Self>, call: InboundCall) -> InboundAnswer {
         let Some(door) = self.doors.get(&call.service, &call.server) else {
-            return InboundAnswer { result: Err(self.refuse(Reason::NotHere)), report: None };
+            let result = Err(self.refuse(Reason::NotHere));
+            return InboundAnswer { result, report: None, called: None };
         };
+        let kind = call.kind.clone();
         let result = match self.check_leaving() {
             Some(reason) => Err(self.refuse(reason)),
             None => self.pass(&door, call).await,
         };
-        InboundAnswer { result, report: Some(door.report(self.incarnation)) }
+        let called = door.called_word(&kind);
+        InboundAnswer { result, report: Some(door.report(self.incarnation)), called }
     }
 
     /// Keeps a slot for a call whose body is not here yet.
@@ -217,6 +224,9 @@
 
     async fn enter(&self, door: &Arc<Door>, call: &InboundCall) -> Result<Permit, Refused> {
         let called = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
+        if !called && self.trees.turns_down(&call.kind) {
+            return Err(self.refuse(Reason::CalledServiceFull));
+        }
         // The request that waits for the call is wasted without it, so the call is not given up
         // before its deadline.
         let now = self.clock.now();
--- a/crates/cherrystream-daemon/src/lib.rs
+++ b/crates/cherrystream-daemon/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod request_log;
 pub mod role;
 pub mod sync;
+pub mod trees;
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -77,7 +77,11 @@
         };
         let id = call.call.clone();
         let answer = self.inbound.call(call).await;
-        hop::write_answer(id, answer.result, answer.report)
+        let mut res = hop::write_answer(id, answer.result, answer.report);
+        if let Some(leads_to) = &answer.called {
+            hop::write_called(res.headers_mut(), leads_to);
+        }
+        res
     }
 
     async fn reserve(&self, req: Request<Incoming>) -> Response<Body> {
