Daemons hand on which kinds are calls; times and bodies of a request in modules of their own

Cause: a daemon tells calls by running requests from others only after some requests. Change: an outbound tells with each call that other inbounds took its kind for calls.

Tried and reverted: instances named by the daemon beside them (docs/design/deciding-under-load.md).

--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod call_times;
 pub mod call_trees;
 pub mod callers;
 pub mod choose;
--- /dev/null
+++ b/crates/cherrystream-core/tests/call_times.rs
@@ -0,0 +1,36 @@
+//! Up to when an outbound decides one way or another.
+
+use cherrystream_core::call_times::{CallTimes, Given};
+use cherrystream_core::units::Timestamp;
+use std::time::Duration;
+
+fn given(body_bytes: usize, asked_before: u64) -> CallTimes {
+    CallTimes::new(Given {
+        now: Timestamp::from_millis(1_000),
+        target: Duration::from_millis(800),
+        asked_before: Duration::from_millis(asked_before),
+        repeatable: false,
+        body_bytes,
+        crossing_cost: Duration::from_millis(200),
+    })
+}
+
+fn nearby_until(body_bytes: usize, asked_before: u64) -> Option<u64> {
+    given(body_bytes, asked_before).nearby_until.map(Timestamp::as_millis)
+}
+
+#[test]
+fn the_longer_a_body_the_longer_it_stays_nearby() {
+    assert_eq!(nearby_until(0, 0), None);
+    assert_eq!(nearby_until(1_200, 0), None, "a shorter stay than an offer takes");
+    assert_eq!(nearby_until(16 * 1_024, 0), Some(1_200));
+    assert_eq!(nearby_until(60 * 1_024, 0), Some(1_400), "half of the target at most");
+    assert_eq!(nearby_until(60 * 1_024, 600), Some(1_100), "half of what is left of it");
+}
+
+#[test]
+fn an_answer_is_good_by_the_clock_of_the_caller() {
+    assert_eq!(given(0, 0).good_until, Timestamp::from_millis(1_800));
+    assert_eq!(given(0, 300).good_until, Timestamp::from_millis(1_500));
+    assert_eq!(given(0, 5_000).good_until, Timestamp::from_millis(1_000));
+}
--- a/crates/cherrystream-daemon/src/hop.rs
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -29,6 +29,9 @@
     pub allowance: u32,
     /// Whether it is to be let in only where it is served well.
     pub selective: bool,
+    /// Whether other inbounds took its kind for calls by running requests: one that was started lately has
+    /// not seen enough to tell.
+    pub called: bool,
     /// Microseconds within which an answer is good, where the route tells.
     pub good_us: Option<u64>,
     /// Slot that was reserved for it.
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -50,6 +50,8 @@
     pub wait_at_most: Duration,
     /// Whether it is to be let in only where it is served well.
     pub selective: bool,
+    /// Whether other inbounds took its kind for calls by running requests.
+    pub called: bool,
     /// Time within which an answer is good, where the route tells.
     pub good_for: Option<Duration>,
     /// Slot that was reserved for it.
@@ -223,7 +225,8 @@
     }
 
     async fn enter(&self, door: &Arc<Door>, call: &InboundCall) -> Result<Permit, Refused> {
-        let called = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
+        let seen = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
+        let called = seen || call.called;
         if !called && self.trees.turns_down(&call.kind) {
             return Err(self.refuse(Reason::CalledServiceFull));
         }
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -2,6 +2,7 @@
 
 mod choosing;
 mod once;
+mod replay;
 mod request;
 mod reserving;
 mod send;
@@ -155,7 +156,7 @@
             None => self.run(call, held).await,
         };
         if let Some(unread) = call.body.take_stream() {
-            request::discard(unread);
+            replay::discard(unread);
         }
         tried
     }
@@ -195,7 +196,7 @@
         let Some(mut second) = call.fork_for_hedge() else {
             return self.attempt(call, held, server, None).await;
         };
-        let wait = second.hedge_after.unwrap_or_default();
+        let wait = second.times.and_then(|times| times.hedge_after).unwrap_or_default();
         let hedge = async {
             tokio::time::sleep(wait).await;
             self.hedge(&mut second, held, server).await
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -1,51 +1,30 @@
 //! Reads a caller's request.
 
 use super::Outbound;
+use super::replay::{self, HELD_BYTES, Replay};
 use crate::headers;
 use crate::held::Held;
 use crate::refusal::Refused;
 use crate::request_log::RequestSummary;
-use bytes::Bytes;
+use cherrystream_core::call_times::{CallTimes, Given};
 use cherrystream_core::deadline::Deadline;
 use cherrystream_core::kinds::{self, Treatment};
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::retry::Allowance;
 use cherrystream_core::routes::NamedRoute;
 use cherrystream_core::units::Timestamp;
-use cherrystream_net::body::{self, Body, Start};
+use cherrystream_net::body::Body;
 use cherrystream_net::interface::CallerHead;
 use http::{HeaderMap, Method, Uri, header, request};
-use http_body_util::BodyExt;
 use siphasher::sip::SipHasher13;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Bodies up to this size are held whole, so that the request can be sent again.
-const HELD_BYTES: usize = 64 * 1024;
-/// Bodies above this size travel only to a backend server that has kept a slot for them.
-const RESERVED_FROM_BYTES: usize = 1024;
 /// Largest body of a request that may not be repeated: it is held until the claim is recorded.
 const ONCE_BYTES: usize = 1024 * 1024;
-/// Bytes of an unneeded body that are read at most.
-const DISCARDED_BYTES: usize = 16 * 1024 * 1024;
-/// Longest time for which an unneeded body is read.
-const DISCARD_TIME: Duration = Duration::from_secs(5);
-/// Part of its target latency that a request may wait before it is offered to a backend server: one
-/// that is refused after a fifth can still come back in time.
-const PATIENCE_PART: u32 = 5;
-/// Length of a body that costs as much between failure domains as `crossing_cost_ms` is worth: that of some
-/// ten requests without one.
-const CROSSING_BYTES: f64 = 16.0 * 1024.0;
-/// Shortest stay that is worth a further offer: a shorter one would only delay the request.
-const NEARBY_AT_LEAST: Duration = Duration::from_millis(60);
-/// Part of the time in which its answer is good that a request stays in its own failure domain at most: as
-/// much is left to be in time elsewhere.
-const NEARBY_PART: f64 = 0.5;
 /// Backend servers that a request is offered to before it takes what it gets.
 const SELECTIVE_OFFERS: u32 = 4;
-/// Part of its target latency after which a second attempt may join the first one.
-const HEDGE_PART: f64 = 0.55;
 /// Weight of the requests with the highest priority.
 const HIGHEST_PRIORITY_WEIGHT: u32 = 1_000;
 /// Longest key, in bytes.
@@ -83,14 +62,8 @@
     pub(super) arrivals_at_most: u32,
     /// Offers to backend servers that may still turn it down for being busy.
     pub(super) selective_offers: u32,
-    /// Time after which a second attempt may join the first one.
-    pub(super) hedge_after: Option<Duration>,
-    /// Until when an answer is good, where the route tells.
-    pub(super) good_until: Option<Timestamp>,
-    /// Until when it may wait for a slot, where that is less than the deadline.
-    pub(super) patience: Option<Timestamp>,
-    /// Until when it stays in its own failure domain, where its body is long.
-    pub(super) nearby_until: Option<Timestamp>,
+    /// Its times, where a route tells in which time an answer is wanted.
+    pub(super) times: Option<CallTimes>,
 }
 
 impl Call {
@@ -101,13 +74,12 @@
 
     /// Returns whether it stays in its own failure domain for now.
     pub(super) fn stays_nearby(&self, now: Timestamp) -> bool {
-        let soon = |until: Timestamp| until.since(now) > Duration::ZERO;
-        self.is_selective() && self.nearby_until.is_some_and(soon)
+        self.is_selective() && self.times.is_some_and(|times| times.stays_nearby(now))
     }
 
     /// Returns the request once more, for a second attempt while the first one runs.
     pub(super) fn fork_for_hedge(&self) -> Option<Call> {
-        self.hedge_after?;
+        let times = self.times.filter(|times| times.hedge_after.is_some())?;
         let Replay::Whole(bytes) = &self.body else { return None };
         // A request that has failed before has its retries for that.
         if self.arrivals > 0 || self.arrivals_at_most < 2 {
@@ -130,10 +102,7 @@
             arrivals: 0,
             arrivals_at_most: 1,
             selective_offers: 1,
-            hedge_after: self.hedge_after,
-            good_until: self.good_until,
-            patience: self.patience,
-            nearby_until: None,
+            times: Some(CallTimes { nearby_until: None, ..times }),
         })
     }
 
@@ -162,54 +131,6 @@
     }
 }
 
-/// A body that may have to be sent again.
-pub(super) enum Replay {
-    /// It is held and can be sent as often as needed.
-    Whole(Bytes),
-    /// It comes from the caller's connection and can be sent once.
-    Stream(Option<Body>),
-}
-
-impl Replay {
-    pub(super) fn is_replayable(&self) -> bool {
-        !matches!(self, Replay::Stream(None))
-    }
-
-    /// Returns whether a slot is asked for before the body is sent: it is long, or can be sent once
-    /// only and must not be used up by an offer.
-    pub(super) fn asks_first(&self) -> bool {
-        match self {
-            Replay::Whole(bytes) => bytes.len() > RESERVED_FROM_BYTES,
-            Replay::Stream(body) => body.is_some(),
-        }
-    }
-
-    /// Returns the bytes that will travel, at least.
-    fn bytes(&self) -> usize {
-        match self {
-            Replay::Whole(bytes) => bytes.len(),
-            Replay::Stream(Some(_)) => HELD_BYTES,
-            Replay::Stream(None) => 0,
-        }
-    }
-
-    /// Takes a body that can be sent once only, if nobody has.
-    pub(super) fn take_stream(&mut self) -> Option<Body> {
-        match self {
-            Replay::Whole(_) => None,
-            Replay::Stream(body) => body.take(),
-        }
-    }
-
-    /// Returns the body, once more if it is held.
-    pub(super) fn take(&mut self) -> Option<Body> {
-        match self {
-            Replay::Whole(bytes) => Some(body::full(bytes.clone())),
-            Replay::Stream(body) => body.take(),
-        }
-    }
-}
-
 /// Reads the head of a request, and its body if it is short.
 pub(super) async fn read(
     outbound: &Outbound,
@@ -224,24 +145,25 @@
     let key = read_key(&parts.headers, &treatment)?;
     let carried = headers::parsed(&parts.headers, &headers::ALLOWANCE);
     let limit = if key.is_some() { ONCE_BYTES } else { HELD_BYTES };
-    let body = read_body(outbound, body, limit, deadline).await?;
+    let remaining = deadline.remaining(now).unwrap_or_default();
+    let body = Replay::read(body, limit, remaining).await?;
     if key.is_some()
         && let Replay::Stream(Some(body)) = body
     {
-        discard(body);
+        replay::discard(body);
         return Err(Refused::new(Reason::BodyTooLarge));
     }
-    let target_latency = route.as_ref().map(|r| Duration::from_micros(r.route.target_us));
     // An answer is in time by the clock of the caller, which may have asked before.
     let asked_before = first_asked(outbound, &treatment, head.time_left);
-    let repeatable = route.as_ref().is_some_and(|r| r.route.repeatable);
-    let hedge_after =
-        target_latency.filter(|_| repeatable).map(|latency| latency.mul_f64(HEDGE_PART));
-    let good_until = target_latency.map(|latency| now + latency.saturating_sub(asked_before));
-    let nearby = worth_of_staying(outbound.crossing_cost, body.bytes());
-    let nearby_until = good_until.filter(|_| nearby >= NEARBY_AT_LEAST).map(|until| {
-        let half = until.since(now).mul_f64(NEARBY_PART);
-        now + nearby.min(half)
+    let times = route.as_ref().map(|named| {
+        CallTimes::new(Given {
+            now,
+            target: Duration::from_micros(named.route.target_us),
+            asked_before,
+            repeatable: named.route.repeatable,
+            body_bytes: body.bytes(),
+            crossing_cost: outbound.crossing_cost,
+        })
     });
     let uri = target(&parts)?;
     let selective_offers = if route.is_some() { SELECTIVE_OFFERS } else { 0 };
@@ -261,11 +183,8 @@
         attempts: 0,
         arrivals: 0,
         selective_offers,
-        hedge_after,
         arrivals_at_most: route.as_ref().map_or(u32::MAX, |r| r.route.attempts_at_most),
-        good_until,
-        nearby_until,
-        patience: target_latency.map(|latency| now + latency / PATIENCE_PART),
+        times,
     })
 }
 
@@ -280,12 +199,6 @@
     outbound.first_asked.lock().on_request(outbound.clock.now(), &kind, left)
 }
 
-/// Returns the time that a request rather stays in its own failure domain than has a body of this length
-/// leave it.
-fn worth_of_staying(crossing_cost: Duration, bytes: usize) -> Duration {
-    crossing_cost.mul_f64(bytes as f64 / CROSSING_BYTES)
-}
-
 /// Where a request goes, and how it is treated.
 struct Aim {
     service: Arc<str>,
@@ -362,35 +275,6 @@
     }
 }
 
-async fn read_body(
-    outbound: &Outbound,
-    incoming: Body,
-    limit: usize,
-    deadline: Deadline,
-) -> Result<Replay, Refused> {
-    let remaining = deadline.remaining(outbound.clock.now()).unwrap_or_default();
-    match tokio::time::timeout(remaining, body::read_start(incoming, limit)).await {
-        Ok(Ok(Start::Whole(bytes))) => Ok(Replay::Whole(bytes)),
-        Ok(Ok(Start::Longer(body))) => Ok(Replay::Stream(Some(body))),
-        Ok(Err(_)) => Err(Refused::new(Reason::BadRequest)),
-        Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
-    }
-}
-
-/// Reads the rest of a body that nobody needs, up to a limit: a caller that is still sending
-/// would otherwise find its connection reset before it has read the answer.
-pub(super) fn discard(mut body: Body) {
-    tokio::spawn(tokio::time::timeout(DISCARD_TIME, async move {
-        let mut left = DISCARDED_BYTES;
-        while let Some(Ok(frame)) = body.frame().await {
-            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
-            if left == 0 {
-                return;
-            }
-        }
-    }));
-}
-
 fn target(parts: &request::Parts) -> Result<Uri, Refused> {
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     path.parse().map_err(|_| Refused::new(Reason::BadRequest))
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -128,6 +128,7 @@
             deadline: call.deadline,
             wait_at_most: self.wait_left(call),
             selective: call.is_selective(),
+            called: self.trees.is_called(&call.treatment.kind),
             good_for: self.good_for(call),
             reservation: admitted.reservation,
             call: call.id.clone(),
@@ -163,13 +164,13 @@
     pub(super) fn wait_left(&self, call: &Call) -> Duration {
         let now = self.clock.now();
         let remaining = call.deadline.remaining(now).unwrap_or_default();
-        let patience = call.patience.map(|until| until.since(now));
+        let patience = call.times.map(|times| times.patience.since(now));
         patience.map_or(remaining, |patience| patience.min(remaining))
     }
 
     /// Returns the time within which an answer is good, where the route tells.
     fn good_for(&self, call: &Call) -> Option<Duration> {
-        call.good_until.map(|until| until.since(self.clock.now()))
+        call.times.map(|times| times.good_until.since(self.clock.now()))
     }
 
     fn request(&self, call: &mut Call) -> Result<Request<Body>, Refused> {
@@ -203,6 +204,7 @@
             wait_us: units::micros(self.wait_left(call)),
             allowance: call.allowance.left(),
             selective: call.is_selective(),
+            called: self.trees.is_called(&call.treatment.kind),
             good_us: self.good_for(call).map(units::micros),
             reservation: admitted.reservation,
         };
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -120,6 +120,7 @@
             deadline,
             wait_at_most: head.wait(),
             selective: head.selective,
+            called: head.called,
             good_for: head.good_us.map(Duration::from_micros),
             reservation: head.reservation,
             call: head.call,
--- a/crates/cherrystream-daemon/src/trees.rs
+++ b/crates/cherrystream-daemon/src/trees.rs
@@ -48,12 +48,17 @@
         self.calls.lock().on_called(self.clock.now(), kind, leads_to);
     }
 
+    /// Returns whether requests of a kind that begin here are taken for calls by runs.
+    pub fn is_called(&self, kind: &str) -> bool {
+        self.calls.lock().is_called(kind)
+    }
+
     /// Notes what became of a caller's request.
     pub fn on_outcome(&self, asked: Asked<'_>, let_in: bool) {
         let now = self.clock.now();
         let Asked { kind, service, weight } = asked;
         // Calls go before all others, so their share tells nothing.
-        if self.calls.lock().is_called(kind) {
+        if self.is_called(kind) {
             return;
         }
         self.shares.lock().on_outcome(now, kind, service, weight, let_in);
