--- a/crates/cherrystream-core/src/callers.rs
+++ b/crates/cherrystream-core/src/callers.rs
@@ -50,15 +50,10 @@
         self.forget(now);
         let seen = self.routes.entry(route.clone()).or_default();
         *seen.by_service.entry(service.clone()).or_default() += 1.0;
-        self.is_called(route)
-    }
-
-    /// Returns whether the requests of a route are taken for calls by running requests.
-    pub fn is_called(&self, route: &str) -> bool {
         self.is_own(route) && self.some_is_shared()
     }
 
-    fn is_own(&self, route: &str) -> bool {
+    fn is_own(&self, route: &Arc<str>) -> bool {
         let share = self.routes.get(route).and_then(Seen::largest_share);
         share.is_some_and(|share| share >= OWN_FROM)
     }
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -9,12 +9,10 @@
 pub mod admission;
 pub mod attempts;
 pub mod call_times;
-pub mod call_trees;
 pub mod callers;
 pub mod choose;
 pub mod deadline;
 pub mod errors;
-pub mod fair_share;
 pub mod first_asked;
 pub mod instances;
 pub mod kinds;
--- a/crates/cherrystream-core/src/reasons.rs
+++ b/crates/cherrystream-core/src/reasons.rs
@@ -99,8 +99,6 @@
     BusyNow = "busy-now", NotRun, 503, true;
     /// Requests of more weight took the place in the queue.
     ShedByWeight = "shed-by-weight", NotRun, 503, true;
-    /// A service that the request would call has no room for more urgent ones.
-    CalledServiceFull = "called-service-full", NotRun, 503, false;
     /// The backend server is leaving.
     Draining = "draining", NotRun, 503, true;
     /// The host is leaving.
@@ -146,20 +144,6 @@
             || matches!(self, Reason::BackendServerRefused | Reason::OtherInstance)
     }
 
-    /// Returns whether the request was refused because there was no room for it in time.
-    pub const fn is_lack_of_room(self) -> bool {
-        matches!(
-            self,
-            Reason::QueueFull
-                | Reason::QueueTooLong
-                | Reason::BusyNow
-                | Reason::ShedByWeight
-                | Reason::CalledServiceFull
-                | Reason::WaitTooLong
-                | Reason::DeadlineBeforeStart
-        )
-    }
-
     /// Reads the value of the `Cherrystream-Reason` header.
     pub fn read(text: &str) -> Option<Reason> {
         Reason::ALL.iter().copied().find(|r| r.as_str() == text)
--- a/crates/cherrystream-daemon/src/door.rs
+++ b/crates/cherrystream-daemon/src/door.rs
@@ -1,6 +1,5 @@
 //! The one door to a backend server of this host.
 
-use crate::trees::{Run, Trees};
 use cherrystream_core::admission::{self, Action, Admission, Arrival, Refusal, Ticket, Verdict};
 use cherrystream_core::callers::Callers;
 use cherrystream_core::measuring::{Check, Health, MeasuringBudget};
@@ -43,19 +42,9 @@
     /// Budget for measuring it.
     pub budget: Mutex<MeasuringBudget>,
     clock: Clock,
-    trees: Arc<Trees>,
     inner: Mutex<Inner>,
 }
 
-/// What a door shares with the rest of its daemon.
-#[derive(Clone, Debug)]
-pub struct Context {
-    /// The clock.
-    pub clock: Clock,
-    /// Trees of calls.
-    pub trees: Arc<Trees>,
-}
-
 struct Inner {
     admission: Admission,
     waiters: HashMap<Ticket, Waiter>,
@@ -71,7 +60,7 @@
         backend: Pool,
         opts: admission::Options,
         measuring_per_second: u32,
-        cx: Context,
+        clock: Clock,
     ) -> Door {
         let inner = Inner {
             admission: Admission::new(opts),
@@ -81,8 +70,7 @@
             usual_times: UsualTimes::default(),
         };
         let budget = Mutex::new(MeasuringBudget::new(measuring_per_second));
-        let Context { clock, trees } = cx;
-        Door { id, backend, budget, clock, trees, inner: Mutex::new(inner) }
+        Door { id, backend, budget, clock, inner: Mutex::new(inner) }
     }
 
     /// Changes the settings.
@@ -143,7 +131,7 @@
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
-        Permit { door: self.clone(), ticket, work: None, run: None, answered: false }
+        Permit { door: self.clone(), ticket, work: None, answered: false }
     }
 
     /// Pairs actions with those who wait for them. They are told after the lock is released: a
@@ -193,12 +181,6 @@
         self.inner.lock().callers.on_request(self.clock.now(), route, caller)
     }
 
-    /// Returns the services that a kind of request leads to, if it is taken for a call by a running request.
-    pub fn called_word(&self, kind: &str) -> Option<Vec<Arc<str>>> {
-        let called = self.inner.lock().callers.is_called(kind);
-        called.then(|| self.trees.leads_to(kind))
-    }
-
     /// Takes the backend server's word on its load.
     pub fn on_load(&self, load: &ServerLoad) {
         self.inner.lock().admission.on_pace(self.clock.now(), load.slowness);
@@ -263,8 +245,6 @@
     door: Arc<Door>,
     ticket: Ticket,
     work: Option<Work>,
-    /// Ends with the permit.
-    run: Option<Run>,
     answered: bool,
 }
 
@@ -285,7 +265,6 @@
     fn begin(mut self, kind: Arc<str>) -> Permit {
         let since = self.door.clock.now();
         let slowness = self.door.inner.lock().admission.slowness(since);
-        self.run = Some(self.door.trees.begin_run(kind.clone()));
         self.work = Some(Work { kind, since, slowness });
         self
     }
--- a/crates/cherrystream-daemon/src/doors.rs
+++ b/crates/cherrystream-daemon/src/doors.rs
@@ -1,9 +1,10 @@
 //! The doors of this host's backend servers.
 
-use crate::door::{self, Door, ServerName};
+use crate::door::{Door, ServerName};
 use crate::metrics::Metrics;
 use cherrystream_core::admission;
 use cherrystream_core::measuring::Check;
+use cherrystream_net::clock::Clock;
 use cherrystream_net::pool::Pool;
 use cherrystream_schema::messages::{BackendServer, Instance, Shared};
 use parking_lot::RwLock;
@@ -19,7 +20,7 @@
     host: Arc<str>,
     queue_per_slot: f64,
     slot_share: f64,
-    cx: door::Context,
+    clock: Clock,
     metrics: Metrics,
     doors: RwLock<BTreeMap<ServerName, Arc<Door>>>,
     /// Door to the instance that reports itself to this daemon.
@@ -32,14 +33,14 @@
         host: Arc<str>,
         queue_per_slot: f64,
         slot_share: f64,
-        cx: door::Context,
+        clock: Clock,
         metrics: Metrics,
     ) -> Doors {
         Doors {
             host,
             queue_per_slot,
             slot_share,
-            cx,
+            clock,
             metrics,
             doors: RwLock::default(),
             instance: RwLock::default(),
@@ -76,7 +77,7 @@
             None => {
                 let backend = Pool::new(&word.address, self.metrics.connects.clone());
                 let opts = self.options(word.slots);
-                Arc::new(Door::new(name, backend, opts, 0, self.cx.clone()))
+                Arc::new(Door::new(name, backend, opts, 0, self.clock))
             }
         };
         *slot = Some(door.clone());
@@ -108,7 +109,7 @@
     fn open(&self, name: &ServerName, server: &BackendServer, measuring_per_second: u32) -> Door {
         let backend = Pool::new(&server.address, self.metrics.connects.clone());
         let opts = self.options(server.slots);
-        Door::new(name.clone(), backend, opts, measuring_per_second, self.cx.clone())
+        Door::new(name.clone(), backend, opts, measuring_per_second, self.clock)
     }
 
     fn options(&self, slots: u32) -> admission::Options {
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -40,9 +40,6 @@
 pub const KIND: HeaderName = HeaderName::from_static("cherrystream-kind");
 /// Service on whose host the request began.
 pub const CALLER: HeaderName = HeaderName::from_static("cherrystream-caller");
-/// Set on the answer to a request that is taken for a call by a running one: the services that it leads to
-/// in turn, separated by commas.
-pub const CALLED: HeaderName = HeaderName::from_static("cherrystream-called");
 /// Claim of an unrepeatable request, as JSON.
 pub const CLAIM: HeaderName = HeaderName::from_static("cherrystream-claim");
 /// What became of an attempt, as JSON.
--- a/crates/cherrystream-daemon/src/hop.rs
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -11,7 +11,6 @@
 use cherrystream_schema::messages::Report;
 use http::{HeaderMap, Response};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// What differs from call to call, as the outbound says it.
@@ -29,9 +28,6 @@
     pub allowance: u32,
     /// Whether it is to be let in only where it is served well.
     pub selective: bool,
-    /// Whether other inbounds took its kind for calls by running requests: one that was started lately has
-    /// not seen enough to tell.
-    pub called: bool,
     /// Microseconds within which an answer is good, where the route tells.
     pub good_us: Option<u64>,
     /// Slot that was reserved for it.
@@ -106,17 +102,6 @@
     res
 }
 
-/// Writes that a request is taken for a call by a running one, and which services it leads to.
-pub fn write_called(map: &mut HeaderMap, leads_to: &[Arc<str>]) {
-    headers::set(map, headers::CALLED, leads_to.join(","));
-}
-
-/// Reads what [`write_called`] wrote.
-pub fn read_called(map: &HeaderMap) -> Option<Vec<Arc<str>>> {
-    let text = headers::text(map, &headers::CALLED)?;
-    Some(text.split(',').filter(|name| !name.is_empty()).map(Into::into).collect())
-}
-
 /// Writes the slot that is kept for a call, or why there is none.
 pub fn write_reservation(
     call: String,
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -7,7 +7,6 @@
 use crate::held::HeldCell;
 use crate::metrics::{self, Metrics, ServerLabel};
 use crate::refusal::Refused;
-use crate::trees::Trees;
 use bytes::Bytes;
 use cherrystream_core::admission::Arrival;
 use cherrystream_core::attempts::{Attempts, Claimed, RequestKey};
@@ -50,8 +49,6 @@
     pub wait_at_most: Duration,
     /// Whether it is to be let in only where it is served well.
     pub selective: bool,
-    /// Whether other inbounds took its kind for calls by running requests.
-    pub called: bool,
     /// Time within which an answer is good, where the route tells.
     pub good_for: Option<Duration>,
     /// Slot that was reserved for it.
@@ -70,8 +67,6 @@
     pub result: Result<Response<Body>, Refused>,
     /// Report on the backend server, if it is here.
     pub report: Option<Report>,
-    /// Services that the request leads to, if it is taken for a call by a running one.
-    pub called: Option<Vec<Arc<str>>>,
 }
 
 /// Whether a slot is kept for a call, with a report on the backend server.
@@ -114,7 +109,6 @@
     pub(crate) attempts: Mutex<Attempts<HeldAnswer>>,
     /// Slots kept for calls whose bodies follow. Taken before a door's admission, never with it.
     pub(crate) reservations: Mutex<Reservations<Permit>>,
-    pub(crate) trees: Arc<Trees>,
     pub(crate) held: Arc<HeldCell>,
     pub(crate) host: Arc<str>,
     pub(crate) phases: Phases,
@@ -128,16 +122,13 @@
     /// Passes a request to its backend server.
     pub async fn call(self: &Arc<Self>, call: InboundCall) -> InboundAnswer {
         let Some(door) = self.doors.get(&call.service, &call.server) else {
-            let result = Err(self.refuse(Reason::NotHere));
-            return InboundAnswer { result, report: None, called: None };
+            return InboundAnswer { result: Err(self.refuse(Reason::NotHere)), report: None };
         };
-        let kind = call.kind.clone();
         let result = match self.check_leaving() {
             Some(reason) => Err(self.refuse(reason)),
             None => self.pass(&door, call).await,
         };
-        let called = door.called_word(&kind);
-        InboundAnswer { result, report: Some(door.report(self.incarnation)), called }
+        InboundAnswer { result, report: Some(door.report(self.incarnation)) }
     }
 
     /// Keeps a slot for a call whose body is not here yet.
@@ -225,11 +216,7 @@
     }
 
     async fn enter(&self, door: &Arc<Door>, call: &InboundCall) -> Result<Permit, Refused> {
-        let seen = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
-        let called = seen || call.called;
-        if !called && self.trees.turns_down(&call.kind) {
-            return Err(self.refuse(Reason::CalledServiceFull));
-        }
+        let called = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
         // The request that waits for the call is wasted without it, so the call is not given up
         // before its deadline.
         let now = self.clock.now();
--- a/crates/cherrystream-daemon/src/lib.rs
+++ b/crates/cherrystream-daemon/src/lib.rs
@@ -24,4 +24,3 @@
 pub mod request_log;
 pub mod role;
 pub mod sync;
-pub mod trees;
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -16,7 +16,6 @@
 use crate::refusal::Refused;
 use crate::request_log::{RequestLog, RequestSummary};
 use crate::sync::Newer;
-use crate::trees::{Asked, Trees};
 use cherrystream_core::choose::{self, Distance, ServerId, Table};
 use cherrystream_core::first_asked::FirstAsked;
 use cherrystream_core::reasons::{Outcome, Reason};
@@ -95,7 +94,6 @@
     pub(crate) routes: RwLock<Arc<RouteIndex>>,
     /// Patience of callers by kind of request. Taken with no other lock.
     pub(crate) first_asked: Mutex<FirstAsked>,
-    pub(crate) trees: Arc<Trees>,
     pub(crate) key: Option<Secret>,
     pub(crate) phases: Phases,
     pub(crate) clock: Clock,
@@ -119,9 +117,7 @@
                 if let Some(table) = self.table(&call.service) {
                     table.lock().on_call();
                 }
-                self.trees.on_request(&call.treatment.kind, &call.service);
                 let result = self.carry_out(&mut call, &held).await;
-                self.note_outcome(&call, &result);
                 (call.summary(), result)
             }
             Err(refused) => {
@@ -137,19 +133,6 @@
         self.write_answer(summary, id, result)
     }
 
-    /// Notes whether a request was let in, or had no room.
-    fn note_outcome(&self, call: &Call, result: &Tried) {
-        let let_in = match result {
-            Ok(_) => true,
-            Err(refused) if refused.reason.is_lack_of_room() => false,
-            Err(refused) if refused.reason.outcome() == Outcome::NotRun => return,
-            Err(_) => true,
-        };
-        let kind = call.treatment.kind.as_str().into();
-        let (service, weight) = (&call.service, call.treatment.weight);
-        self.trees.on_outcome(Asked { kind: &kind, service, weight }, let_in);
-    }
-
     async fn carry_out(&self, call: &mut Call, held: &Held) -> Tried {
         let tried = match call.key.clone() {
             Some(key) => self.run_once(call, key, held).await,
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -99,17 +99,9 @@
         if let Some(report) = answer.report {
             self.with_server(call, server, |s, now| s.on_report(now, report));
         }
-        self.note_called(call, answer.called);
         answer.result
     }
 
-    /// Notes the word of the daemon that answered: whether the backend server beside this one made the call.
-    fn note_called(&self, call: &Call, called: Option<Vec<Arc<str>>>) {
-        if let Some(leads_to) = called {
-            self.trees.on_called(&call.treatment.kind.as_str().into(), &leads_to);
-        }
-    }
-
     /// Returns a call for the inbound of this host.
     pub(super) fn inbound_call(
         &self,
@@ -128,7 +120,6 @@
             deadline: call.deadline,
             wait_at_most: self.wait_left(call),
             selective: call.is_selective(),
-            called: self.trees.is_called(&call.treatment.kind),
             good_for: self.good_for(call),
             reservation: admitted.reservation,
             call: call.id.clone(),
@@ -204,7 +195,6 @@
             wait_us: units::micros(self.wait_left(call)),
             allowance: call.allowance.left(),
             selective: call.is_selective(),
-            called: self.trees.is_called(&call.treatment.kind),
             good_us: self.good_for(call).map(units::micros),
             reservation: admitted.reservation,
         };
@@ -228,7 +218,6 @@
         let Some(head) = self.read_answer_head(call, server, address, res.headers()) else {
             return Err(Refused::new(Reason::WrongCall));
         };
-        self.note_called(call, hop::read_called(res.headers()));
         if let Some(refused) = hop::read_refusal(res.headers(), &head) {
             return Err(refused);
         }
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -77,11 +77,7 @@
         };
         let id = call.call.clone();
         let answer = self.inbound.call(call).await;
-        let mut res = hop::write_answer(id, answer.result, answer.report);
-        if let Some(leads_to) = &answer.called {
-            hop::write_called(res.headers_mut(), leads_to);
-        }
-        res
+        hop::write_answer(id, answer.result, answer.report)
     }
 
     async fn reserve(&self, req: Request<Incoming>) -> Response<Body> {
@@ -120,7 +116,6 @@
             deadline,
             wait_at_most: head.wait(),
             selective: head.selective,
-            called: head.called,
             good_for: head.good_us.map(Duration::from_micros),
             reservation: head.reservation,
             call: head.call,
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -1,6 +1,5 @@
 //! Puts the parts of the daemon role together.
 
-use crate::door;
 use crate::doors::Doors;
 use crate::errors::Result;
 use crate::held::HeldCell;
@@ -14,7 +13,6 @@
 use crate::peer_server::PeerServer;
 use crate::request_log::RequestLog;
 use crate::sync::{Newer, Sync};
-use crate::trees::Trees;
 use cherrystream_core::attempts::{self, Attempts};
 use cherrystream_core::units::Revision;
 use cherrystream_net::body::Body;
@@ -78,9 +76,7 @@
         let peers = Arc::new(Peers::new(cx.metrics.clone()));
         let newer = Arc::new(Newer::default());
         let routes_only = all.interface == Some(InterfaceKind::Platform);
-        let trees = Arc::new(Trees::new(clock));
-        let door_cx = door::Context { clock, trees: trees.clone() };
-        let inbound = Arc::new(inbound(&record, settings, &cx, &held, door_cx));
+        let inbound = Arc::new(inbound(&record, settings, &cx, &held, clock));
         let host: Arc<str> = record.host.as_str().into();
         let doors = inbound.doors.clone();
         let instances = Arc::new(Instances::new(host, doors, cx.interface.clone()));
@@ -106,7 +102,6 @@
             caller_service: settings.service.as_deref().map(Into::into),
             routes: RwLock::default(),
             first_asked: Mutex::default(),
-            trees,
             key: cx.key.clone(),
             phases: cx.phases.clone(),
             clock,
@@ -241,9 +236,8 @@
     settings: &DaemonSettings,
     cx: &Context,
     held: &Arc<HeldCell>,
-    door_cx: door::Context,
+    clock: Clock,
 ) -> Inbound {
-    let door::Context { clock, trees } = door_cx.clone();
     let host: Arc<str> = record.host.as_str().into();
     let incarnation = record.incarnation;
     let opts = attempts::Options { incarnation, ..attempts::Options::default() };
@@ -253,13 +247,12 @@
             host.clone(),
             settings.queue_per_slot,
             settings.slot_share,
-            door_cx,
+            clock,
             cx.metrics.clone(),
         )),
         interface: cx.interface.clone(),
         attempts: Mutex::new(Attempts::new(opts)),
         reservations: Mutex::default(),
-        trees,
         held: held.clone(),
         host,
         phases: cx.phases.clone(),
--- a/crates/cherrystream-daemon/tests/hop.rs
+++ b/crates/cherrystream-daemon/tests/hop.rs
@@ -36,7 +36,6 @@
         wait_us: 80_000,
         allowance: 1,
         selective: true,
-        called: true,
         good_us: Some(400_000),
         reservation: None,
     };
