Places of the group go by failure domain, and daemons keep to the replica of theirs

Cause: a place was given to whoever asked first, so five voters lay in four of five failure domains, and the daemons of the one without a replica got each of 600 registrations from afar. Daemons found a near replica only by trying all, and one that had been driven away stayed away.

Change: the log names each replica's failure domain (founding, replacement); a vacant or silent place goes to the failure domain that holds the fewest, after a second in which others may ask (core::raft::spread). Replicas tell daemons where they are with their failure domains, and only when that has changed; the daemon's choice is a state machine (core::replica_choice): near first, back again after the near one was lost, a silent one tried a sixth of the time at most. A replica that stands by asks once a second after its first twelve questions.

Tests: raft_joining::vacant_places_*, a_vacant_place_*, the_place_of_a_lost_* (all three fail without the rule), replica_choice::*.

--- a/crates/cherrystream-bench/src/light.rs
+++ b/crates/cherrystream-bench/src/light.rs
@@ -107,6 +107,7 @@
             instance: None,
             fetching: None,
             looks_in: false,
+            control_known: 0,
         };
         self.count(&req);
         let reply = self.client.sync(req).await.ok()?;
--- a/crates/cherrystream-bench/src/slopes.rs
+++ b/crates/cherrystream-bench/src/slopes.rs
@@ -223,6 +223,7 @@
         instance: None,
         fetching: None,
         looks_in: false,
+        control_known: 0,
     };
     let reply = client.sync(req).await.map_err(|e| e.to_string())?;
     match reply.offer {
@@ -294,6 +295,7 @@
         instance: None,
         fetching: None,
         looks_in: false,
+        control_known: 0,
     };
     client.sync(req).await.map(|_| ()).map_err(|e| e.to_string())
 }
--- a/crates/cherrystream-bench/src/spread/after/host.rs
+++ b/crates/cherrystream-bench/src/spread/after/host.rs
@@ -91,6 +91,7 @@
             instance: None,
             fetching,
             looks_in: false,
+            control_known: 0,
         };
         (self.abandon_call(), Box::new(req))
     }
--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -13,7 +13,7 @@
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Timestamp;
 use cherrystream_net::clock::Clock;
-use cherrystream_schema::messages::HardState;
+use cherrystream_schema::messages::{HardState, ReplicaAddress};
 use parking_lot::RwLock;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -42,7 +42,7 @@
     pub(crate) store: Store<F>,
     pub(crate) state: Arc<RwLock<ControlState>>,
     standing: watch::Sender<Standing>,
-    addresses: Arc<RwLock<BTreeMap<u64, String>>>,
+    addresses: Arc<RwLock<BTreeMap<u64, ReplicaAddress>>>,
     quorum_word: Arc<RwLock<Option<Timestamp>>>,
     caught_up: Arc<RwLock<Option<Timestamp>>>,
     pub(crate) peers: Peers,
@@ -100,7 +100,7 @@
     let raft = Raft::new(opts, found.restored, clock.now());
     let (events, rx) = mpsc::channel();
     let (standing, standing_rx) = watch::channel(Standing::default());
-    let addresses = Arc::<RwLock<BTreeMap<u64, String>>>::default();
+    let addresses = Arc::<RwLock<BTreeMap<u64, ReplicaAddress>>>::default();
     let quorum_word = Arc::<RwLock<Option<Timestamp>>>::default();
     let caught_up = Arc::<RwLock<Option<Timestamp>>>::default();
     let handle = Handle {
@@ -211,6 +211,7 @@
                 let newcomer = Newcomer {
                     address: &request.address,
                     disk: &request.disk,
+                    failure_domain: &request.failure_domain,
                     stands_by: request.stands_by,
                     runs_as: request.runs_as,
                 };
@@ -374,8 +375,8 @@
         }
         let addresses = self.raft.addresses(now);
         if *self.addresses.read() != addresses {
-            for (id, address) in &addresses {
-                self.peers.set_address(*id, address);
+            for (id, replica) in &addresses {
+                self.peers.set_address(*id, &replica.address);
             }
             *self.addresses.write() = addresses;
         }
--- a/crates/cherrystream-control/src/handle.rs
+++ b/crates/cherrystream-control/src/handle.rs
@@ -4,7 +4,7 @@
 use cherrystream_core::raft::{Admission, ReplicaView};
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Timestamp;
-use cherrystream_schema::messages::{Command, JoinRequest, RaftMessage};
+use cherrystream_schema::messages::{Command, JoinRequest, RaftMessage, ReplicaAddress};
 use parking_lot::RwLock;
 use snafu::Snafu;
 use std::collections::BTreeMap;
@@ -76,8 +76,8 @@
     pub standing: watch::Receiver<Standing>,
     /// This replica.
     pub replica: u64,
-    /// Addresses of all replicas; empty where they are fixed.
-    pub addresses: Arc<RwLock<BTreeMap<u64, String>>>,
+    /// Where all replicas are; empty where their addresses are fixed.
+    pub addresses: Arc<RwLock<BTreeMap<u64, ReplicaAddress>>>,
     /// When this replica last had word from a leader with a quorum, on the driver's clock.
     pub quorum_word: Arc<RwLock<Option<Timestamp>>>,
     /// When this replica last had applied all that a leader with a quorum told of, on the driver's clock.
@@ -109,10 +109,15 @@
         wait(rx).await
     }
 
+    /// Returns where the replicas are, as far as that is known and not fixed.
+    pub fn known_replicas(&self) -> Vec<ReplicaAddress> {
+        let addresses = self.addresses.read();
+        addresses.values().filter(|replica| !replica.address.is_empty()).cloned().collect()
+    }
+
     /// Returns the addresses of the replicas, as far as they are known and not fixed.
     pub fn known_addresses(&self) -> Vec<String> {
-        let addresses = self.addresses.read();
-        addresses.values().filter(|address| !address.is_empty()).cloned().collect()
+        self.known_replicas().into_iter().map(|replica| replica.address).collect()
     }
 
     /// Returns how old the word of a leader with a quorum is here.
--- a/crates/cherrystream-control/src/place.rs
+++ b/crates/cherrystream-control/src/place.rs
@@ -23,6 +23,11 @@
 
 /// Time between questions for a place.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// As `ASK_AGAIN`, for one that has asked for long. Each question is a connection, and most cross to another failure
+/// domain: five replicas that stand by said 40 KB a second at 4 questions a second (by the sizes of their messages).
+const ASK_SELDOM: Duration = Duration::from_millis(1_000);
+/// Questions after which a replica asks seldom: more than the founding of a group takes.
+const ASK_OFTEN: usize = 12;
 /// Longest wait for the answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Shortest time without a leader before an election, where members are found by themselves.
@@ -42,6 +47,8 @@
     pub addresses: BTreeMap<u64, String>,
     /// Whether the addresses stay as they are.
     pub fixed: bool,
+    /// Failure domain of this host.
+    pub failure_domain: String,
     /// Whether this replica may found the group.
     pub may_found: bool,
 }
@@ -56,6 +63,7 @@
             disk: self.identity.disk.clone(),
             replicas: self.addresses.keys().copied().collect(),
             addresses,
+            failure_domain: if self.fixed { String::new() } else { self.failure_domain.clone() },
             may_found: self.may_found,
             election: if self.fixed { defaults.election } else { ELECTION },
             first_election: if self.fixed { defaults.first_election } else { FIRST_ELECTION },
@@ -93,6 +101,7 @@
     finder: &Finder<'_>,
 ) -> Result<Place> {
     let new_disk = uuid::Uuid::new_v4().to_string();
+    let failure_domain = finder.failure_domain.to_string();
     let Some(seeds) = &settings.seeds else {
         let addresses = settings.replicas.iter().map(|r| (r.replica, r.rpc_address.clone()));
         let identity = Identity { replica: settings.replica, disk: new_disk };
@@ -100,6 +109,7 @@
             identity,
             addresses: addresses.collect(),
             fixed: true,
+            failure_domain,
             may_found: true,
         });
     };
@@ -112,19 +122,20 @@
         }
         // A founder that ends before the group is founded must still found it when it is back.
         let may_found = settings.found || founder::is_marked(folder)?;
-        return Ok(Place { identity: known.identity, addresses, fixed: false, may_found });
+        let identity = known.identity;
+        return Ok(Place { identity, addresses, fixed: false, failure_domain, may_found });
     }
     let own = seeds.iter().position(|address| *address == settings.rpc_address);
     if let Some(position) = own.filter(|_| settings.found) {
         founder::mark(&mut folder.fork())?;
         let identity = Identity { replica: position as u64 + 1, disk: new_disk };
         let addresses = places;
-        return Ok(Place { identity, addresses, fixed: false, may_found: true });
+        return Ok(Place { identity, addresses, fixed: false, failure_domain, may_found: true });
     }
     let request = JoinRequest {
         address: settings.rpc_address.clone(),
         disk: new_disk.clone(),
-        failure_domain: finder.failure_domain.into(),
+        failure_domain: failure_domain.clone(),
         stands_by: settings.found,
         runs_as: None,
     };
@@ -141,7 +152,7 @@
     rpc.stopped().await;
     log::info!("control: joins the group as replica {replica}");
     let identity = Identity { replica, disk: new_disk };
-    Ok(Place { identity, addresses, fixed: false, may_found: false })
+    Ok(Place { identity, addresses, fixed: false, failure_domain, may_found: false })
 }
 
 /// Returns the places of a group that the seeds found. Those that no seed fills are vacant at first.
@@ -177,7 +188,8 @@
                 self.standby.learn(others.filter(|a| *a != self.request.address));
                 self.keep(folder, &mut kept).await;
             }
-            tokio::time::sleep(ASK_AGAIN).await;
+            let pause = if turn < ASK_OFTEN { ASK_AGAIN } else { ASK_SELDOM };
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -11,6 +11,7 @@
 use cherrystream_core::instances;
 use cherrystream_core::ledger;
 use cherrystream_core::raft::Admission;
+use cherrystream_core::replica_choice;
 use cherrystream_core::state::Applied;
 use cherrystream_core::units::Revision;
 use cherrystream_net::clock;
@@ -160,13 +161,17 @@
         };
         let state = self.handle.state.read();
         let age = self.handle.state_word().age();
+        let mut control = self.handle.known_replicas();
+        if replica_choice::checksum(&control) == req.control_known {
+            control.clear();
+        }
         SyncReply {
             newest: state.revision(),
             update,
             offer,
             instance: state.shared().instances.get(&req.record.host).cloned(),
             state_age_ms: age.map_or(u64::MAX, |a| a.as_millis().try_into().unwrap_or(u64::MAX)),
-            control: self.handle.known_addresses(),
+            control,
             failure_domain: self.failure_domain.clone(),
         }
     }
@@ -319,7 +324,7 @@
             Err(e) => return Err(self.no_result(e)),
         };
         let addresses = self.handle.addresses.read();
-        let addresses = addresses.iter().map(|(id, address)| (id.to_string(), address.clone()));
+        let addresses = addresses.iter().map(|(id, at)| (id.to_string(), at.address.clone()));
         let replica = match admission {
             Admission::Granted(replica) => Some(replica),
             Admission::NotNow | Admission::Lost => None,
--- a/crates/cherrystream-control/src/snapshots.rs
+++ b/crates/cherrystream-control/src/snapshots.rs
@@ -77,6 +77,7 @@
         let no_members = || cherrystream_schema::messages::Members {
             disks: BTreeMap::new(),
             addresses: BTreeMap::new(),
+            failure_domains: BTreeMap::new(),
         };
         let members = self.raft.members().cloned().unwrap_or_else(no_members);
         let Position { term, index } = self.applied;
--- a/crates/cherrystream-control/src/standby.rs
+++ b/crates/cherrystream-control/src/standby.rs
@@ -7,7 +7,7 @@
 use cherrystream_schema::messages::{
     Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, DaemonStatus, JoinReply,
     JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply, RaftMessage, ReleaseRequest,
-    RouteOrderReply, SyncReply, SyncRequest,
+    ReplicaAddress, RouteOrderReply, SyncReply, SyncRequest,
 };
 use jsonrpsee::core::{RpcResult, async_trait};
 use parking_lot::RwLock;
@@ -57,12 +57,17 @@
             instance: None,
             // It has no word from a quorum, so daemons leave it for those that it names.
             state_age_ms: u64::MAX,
-            control: self.known(),
+            control: self.known().into_iter().map(without_domain).collect(),
             failure_domain: None,
         }
     }
 }
 
+/// What is known of a replica that was told by its address only.
+fn without_domain(address: String) -> ReplicaAddress {
+    ReplicaAddress { address, failure_domain: None }
+}
+
 #[async_trait]
 impl ControlRpcServer for Standby {
     async fn raft(&self, _messages: Vec<RaftMessage>) -> RpcResult<()> {
--- a/crates/cherrystream-control/tests/store.rs
+++ b/crates/cherrystream-control/tests/store.rs
@@ -139,7 +139,11 @@
 }
 
 fn snapshot(term: u64, index: u64) -> Snapshot {
-    let members = Members { disks: BTreeMap::new(), addresses: BTreeMap::new() };
+    let members = Members {
+        disks: BTreeMap::new(),
+        addresses: BTreeMap::new(),
+        failure_domains: BTreeMap::new(),
+    };
     Snapshot { term, index, members, state: "{}".into() }
 }
 
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod plan;
 pub mod raft;
 pub mod reasons;
+pub mod replica_choice;
 pub mod reservations;
 pub mod reserve;
 pub mod retry;
--- a/crates/cherrystream-core/src/raft/disks.rs
+++ b/crates/cherrystream-core/src/raft/disks.rs
@@ -33,6 +33,8 @@
     disk: String,
     /// Address of the replica on the new disk, where addresses are not fixed.
     address: Option<String>,
+    /// Failure domain of the replica on the new disk, where it is known.
+    failure_domain: Option<String>,
     by: u64,
     /// Index of a later entry by which the third replica opened its term as the leader.
     third_led_at: Option<u64>,
@@ -40,7 +42,8 @@
 
 impl PendingDisk {
     fn of(entry: &Entry) -> Option<PendingDisk> {
-        let Command::ReplaceDisk { replica, disk, by, address } = &entry.command else {
+        let Command::ReplaceDisk { replica, disk, by, address, failure_domain } = &entry.command
+        else {
             return None;
         };
         Some(PendingDisk {
@@ -48,6 +51,7 @@
             replica: *replica,
             disk: disk.clone(),
             address: address.clone(),
+            failure_domain: failure_domain.clone(),
             by: *by,
             third_led_at: None,
         })
@@ -111,6 +115,15 @@
         pending.or_else(|| committed().map(String::as_str))
     }
 
+    /// Returns the failure domain that the log names for a replica, the newest one first.
+    pub(super) fn logged_failure_domain(&self, id: u64) -> Option<&str> {
+        let pending = self.pending_disks.iter().rev().find(|p| p.replica == id);
+        let pending = pending.and_then(|p| p.failure_domain.as_deref());
+        let members = self.members.as_ref();
+        let committed = || members.and_then(|m| m.failure_domains.get(&id.to_string()));
+        pending.or_else(|| committed().map(String::as_str))
+    }
+
     fn holds_replacement(&self, id: u64, disk: &str) -> bool {
         let named = |p: &&PendingDisk| p.replica == id && p.disk == disk;
         self.pending_disks.iter().filter(named).any(|p| self.counts_now(p))
--- a/crates/cherrystream-core/src/raft/founding.rs
+++ b/crates/cherrystream-core/src/raft/founding.rs
@@ -19,6 +19,8 @@
     trusted_from: u64,
     /// Disks of the replicas that answered that they are blank.
     blank: BTreeMap<u64, String>,
+    /// Failure domains of the replicas that answered, as far as they tell.
+    failure_domains: BTreeMap<u64, String>,
     /// Newest process of each other replica that this one answered as blank. It adopts a founding
     /// only from that one: an earlier one may have lost its disk since.
     answered: BTreeMap<u64, u64>,
@@ -60,10 +62,14 @@
                     sequence: *sequence,
                     blank: self.is_blank(),
                     members: self.founding_members(),
+                    failure_domain: self.own_failure_domain(),
                 };
                 self.send_before(msg.from, reply);
             }
-            RaftBody::HelloReply { process, sequence, blank, members } => {
+            RaftBody::HelloReply { process, sequence, blank, members, failure_domain } => {
+                if let Some(failure_domain) = failure_domain {
+                    self.founding.failure_domains.insert(msg.from, failure_domain.clone());
+                }
                 if self.is_blank() && self.opts.started_ms == *process {
                     let trusted = *sequence >= self.founding.trusted_from;
                     let members = members.as_ref().filter(|_| trusted);
@@ -134,7 +140,8 @@
         let disks = disks.into_iter().map(|(id, disk)| (id.to_string(), disk)).collect();
         let addresses = self.opts.addresses.iter();
         let addresses = addresses.map(|(id, address)| (id.to_string(), address.clone())).collect();
-        let members = Members { disks, addresses };
+        let failure_domains = self.founding_domains();
+        let members = Members { disks, addresses, failure_domains };
         let process = self.opts.started_ms;
         self.adopt(now, &members);
         for id in others {
@@ -142,6 +149,12 @@
         }
     }
 
+    fn founding_domains(&self) -> BTreeMap<String, String> {
+        let mut failure_domains = self.founding.failure_domains.clone();
+        failure_domains.extend(self.own_failure_domain().map(|own| (self.opts.id, own)));
+        failure_domains.into_iter().map(|(id, domain)| (id.to_string(), domain)).collect()
+    }
+
     /// Writes the founding entry on a blank disk that it names.
     fn adopt(&mut self, now: Timestamp, members: &Members) {
         let named = members.disks.get(&self.opts.id.to_string()) == Some(&self.opts.disk);
--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -9,6 +9,7 @@
 use super::progress::Progress;
 use super::{Raft, Role};
 use crate::units::Timestamp;
+use cherrystream_schema::messages::ReplicaAddress;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
     pub address: &'a str,
     /// Identifier of its disk.
     pub disk: &'a str,
+    /// Failure domain of its host; empty where places do not go by it.
+    pub failure_domain: &'a str,
     /// Whether it stands by; else it comes in the place of another.
     pub stands_by: bool,
     /// Number that it runs under already. It can use no other one with the data that it holds.
@@ -49,6 +52,7 @@
 pub(super) struct Candidate {
     address: String,
     disk: String,
+    failure_domain: String,
     heard: Timestamp,
 }
 
@@ -60,12 +64,22 @@
         }
     }
 
-    /// Returns the address of the newcomer if it has this disk.
-    pub(super) fn address_of_disk(&self, disk: &str) -> Option<String> {
-        (self.disk == disk).then(|| self.address.clone())
+    /// Returns whether the newcomer has this disk.
+    pub(super) fn has_disk(&self, disk: &str) -> bool {
+        self.disk == disk
     }
 
-    fn is_alive(&self, now: Timestamp) -> bool {
+    /// Returns the address of the newcomer.
+    pub(super) fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Returns the failure domain of the newcomer, where it is known.
+    pub(super) fn failure_domain(&self) -> Option<&str> {
+        Some(self.failure_domain.as_str()).filter(|domain| !domain.is_empty())
+    }
+
+    pub(super) fn is_alive(&self, now: Timestamp) -> bool {
         now.since(self.heard) < CANDIDATE_LIFE
     }
 }
@@ -83,6 +97,7 @@
         if self.own_address() == Some(newcomer.address) {
             return Admission::NotNow;
         }
+        self.note_asker(now, newcomer);
         let id = match newcomer.runs_as {
             Some(id) if self.lost_place(id, newcomer.disk) => return Admission::Lost,
             Some(id) => Some(id).filter(|id| self.may_take(now, *id, newcomer)),
@@ -91,8 +106,13 @@
         let (Some(id), Role::Leader(leading)) = (id, &mut self.role) else {
             return Admission::NotNow;
         };
-        let Newcomer { address, disk, .. } = newcomer;
-        let candidate = Candidate { address: address.into(), disk: disk.into(), heard: now };
+        let Newcomer { address, disk, failure_domain, .. } = newcomer;
+        let candidate = Candidate {
+            address: address.into(),
+            disk: disk.into(),
+            failure_domain: failure_domain.into(),
+            heard: now,
+        };
         leading.candidates.insert(id, candidate);
         Admission::Granted(id)
     }
@@ -128,11 +148,27 @@
         // A newcomer that asks again gets the same number.
         let known = || find(&|id| self.is_known(id, disk));
         let same_host = || find(&|id| self.logged_address(id) == Some(address));
-        let open = || find(&|id| self.is_open(now, id));
-        let silent = || find(&|id| self.is_silent(now, id, stands_by));
+        let suits = |id: u64| self.suits(now, id, newcomer);
+        let open = || find(&|id| self.is_open(now, id) && suits(id));
+        let silent = || find(&|id| self.is_silent(now, id, stands_by) && suits(id));
         known().or_else(same_host).or_else(open).or_else(silent)
     }
 
+    /// Returns the failure domain of a replica, as far as it is known.
+    pub fn failure_domain_of(&self, now: Timestamp, id: u64) -> Option<&str> {
+        if let Role::Leader(leading) = &self.role
+            && let Some(candidate) = leading.candidates.get(&id).filter(|c| c.is_alive(now))
+        {
+            return candidate.failure_domain();
+        }
+        self.logged_failure_domain(id)
+    }
+
+    /// Returns the failure domain of this replica, where places go by it.
+    pub(super) fn own_failure_domain(&self) -> Option<String> {
+        Some(self.opts.failure_domain.clone()).filter(|domain| !domain.is_empty())
+    }
+
     /// Returns whether a disk counts for a place, or was let in to catch up for it.
     fn is_known(&self, id: u64, disk: &str) -> bool {
         let Role::Leader(leading) = &self.role else { return false };
@@ -141,7 +177,7 @@
     }
 
     /// Returns whether a newcomer is catching up for a place.
-    fn is_taken(&self, now: Timestamp, id: u64) -> bool {
+    pub(super) fn is_taken(&self, now: Timestamp, id: u64) -> bool {
         let Role::Leader(leading) = &self.role else { return false };
         leading.candidates.get(&id).is_some_and(|c| c.is_alive(now))
     }
@@ -159,10 +195,15 @@
         !self.is_taken(now, id) && heard.is_some_and(|at| now.since(at) >= replaced_after)
     }
 
-    /// Returns the addresses of all replicas; none where they are fixed.
-    pub fn addresses(&self, now: Timestamp) -> BTreeMap<u64, String> {
-        let address = |id: &u64| Some((*id, self.address_of(now, *id)?));
-        self.opts.replicas.iter().filter_map(address).collect()
+    /// Returns where all replicas are; nothing where their addresses are fixed. The address of a vacant place may be
+    /// empty.
+    pub fn addresses(&self, now: Timestamp) -> BTreeMap<u64, ReplicaAddress> {
+        let replica = |id: &u64| {
+            let address = self.address_of(now, *id)?;
+            let failure_domain = self.failure_domain_of(now, *id).map(str::to_string);
+            Some((*id, ReplicaAddress { address, failure_domain }))
+        };
+        self.opts.replicas.iter().filter_map(replica).collect()
     }
 
     /// Returns the address of a replica as far as it is not fixed: that of a newcomer which is
--- a/crates/cherrystream-core/src/raft/leading.rs
+++ b/crates/cherrystream-core/src/raft/leading.rs
@@ -2,6 +2,7 @@
 
 use super::joining::Candidate;
 use super::progress::{ENTRIES_ON_WAY, Progress, RESEND_AFTER, end_of_message};
+use super::spread::Askers;
 use super::{NotLeader, Position, Raft, ReadyRead, Role};
 use crate::units::Timestamp;
 use cherrystream_schema::messages::{Command, Entry, RaftBody, Snapshot};
@@ -13,6 +14,8 @@
     pub(super) progress: BTreeMap<u64, Progress>,
     /// Replicas that were let in to catch up, by the number that they run under.
     pub(super) candidates: BTreeMap<u64, Candidate>,
+    /// Replicas without a place that asked for one.
+    pub(super) askers: Askers,
     round: u64,
     heartbeat_due: Timestamp,
     reads: Vec<PendingRead>,
--- a/crates/cherrystream-core/src/raft/mod.rs
+++ b/crates/cherrystream-core/src/raft/mod.rs
@@ -15,6 +15,7 @@
 mod log;
 mod progress;
 mod replacing;
+mod spread;
 
 pub use joining::{Admission, Newcomer};
 pub use leading::ReplicaView;
@@ -41,6 +42,8 @@
     pub replicas: Vec<u64>,
     /// Addresses of the replicas; empty where they are fixed and so need not stand in the log.
     pub addresses: BTreeMap<u64, String>,
+    /// Failure domain of this host; empty where places do not go by it.
+    pub failure_domain: String,
     /// Whether this replica may found a new group when all disks are blank.
     pub may_found: bool,
     /// Time between heartbeats.
@@ -62,6 +65,7 @@
             disk: String::new(),
             replicas: vec![1],
             addresses: BTreeMap::new(),
+            failure_domain: String::new(),
             may_found: true,
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(1_000),
@@ -380,11 +384,15 @@
         for entry in self.log.range(self.commit + 1, to) {
             match entry.command {
                 Command::Found { members } => self.members = Some(members),
-                Command::ReplaceDisk { replica, disk, address, .. } => {
+                Command::ReplaceDisk { replica, disk, address, failure_domain, .. } => {
                     if let Some(members) = &mut self.members {
-                        members.disks.insert(replica.to_string(), disk);
+                        let replica = replica.to_string();
+                        members.disks.insert(replica.clone(), disk);
                         if let Some(address) = address {
-                            members.addresses.insert(replica.to_string(), address);
+                            members.addresses.insert(replica.clone(), address);
+                        }
+                        if let Some(failure_domain) = failure_domain {
+                            members.failure_domains.insert(replica, failure_domain);
                         }
                     }
                     // After a restart, this replica must know which disks count.
--- a/crates/cherrystream-core/src/raft/replacing.rs
+++ b/crates/cherrystream-core/src/raft/replacing.rs
@@ -29,7 +29,9 @@
         }
         let by = self.opts.id;
         let vacate = !self.is_group_of_three() && !self.is_vacant(ack.from);
-        let address = leading.candidates.get(&ack.from).and_then(|c| c.address_of_disk(&ack.disk));
+        let candidate = leading.candidates.get(&ack.from).filter(|c| c.has_disk(&ack.disk));
+        let address = candidate.map(|c| c.address().to_string());
+        let failure_domain = candidate.and_then(|c| c.failure_domain()).map(str::to_string);
         let replica = ack.from;
         // Others must be able to find it.
         if address.is_none() && !vacate && self.needs_addresses() {
@@ -40,8 +42,14 @@
         }
         let command = match vacate {
             // The next acknowledgement after the commitment names the new disk.
-            true => Command::ReplaceDisk { replica, disk: VACANT.into(), by, address: None },
-            false => Command::ReplaceDisk { replica, disk: ack.disk.clone(), by, address },
+            true => {
+                let disk = VACANT.into();
+                Command::ReplaceDisk { replica, disk, by, address: None, failure_domain: None }
+            }
+            false => {
+                let disk = ack.disk.clone();
+                Command::ReplaceDisk { replica, disk, by, address, failure_domain }
+            }
         };
         let position = self.append_own(command);
         if let Role::Leader(leading) = &mut self.role {
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -1,6 +1,6 @@
 //! Replaced hosts: a newcomer on another address takes the number of a replica that is gone.
 
-use super::raft_world::{Disk, World, address};
+use super::raft_world::{Disk, World, address, failure_domain};
 use cherrystream_core::raft::{Admission, Newcomer, Raft};
 use cherrystream_schema::messages::{Command, RaftBody};
 
@@ -27,7 +27,13 @@
 fn ask(world: &mut World, disk: &Disk, stands_by: bool) -> Option<u64> {
     let now = world.now;
     let i = leader(world);
-    let newcomer = Newcomer { address: NEW_ADDRESS, disk: &disk.id, stands_by, runs_as: None };
+    let newcomer = Newcomer {
+        address: NEW_ADDRESS,
+        disk: &disk.id,
+        failure_domain: "",
+        stands_by,
+        runs_as: None,
+    };
     match world.replicas[i].raft.as_mut().unwrap().admit(now, newcomer) {
         Admission::Granted(replica) => Some(replica),
         Admission::NotNow | Admission::Lost => None,
@@ -257,7 +263,10 @@
     let raft = world.replicas[i].raft.as_mut().unwrap();
     let address = address(i);
     let mut ask = |disk: &str, runs_as: Option<u64>| {
-        raft.admit(now, Newcomer { address: &address, disk, stands_by: true, runs_as })
+        let failure_domain = &failure_domain(i);
+        let newcomer =
+            Newcomer { address: &address, disk, failure_domain, stands_by: true, runs_as };
+        raft.admit(now, newcomer)
     };
     let own_place = i as u64 + 1;
     assert_eq!(ask(&own, None), Admission::Granted(own_place));
@@ -265,3 +274,61 @@
     assert_eq!(ask("another disk", None), Admission::NotNow);
     assert_eq!(ask("another disk", Some(4)), Admission::NotNow);
 }
+
+/// A replica that stands by in a failure domain asks for a place; its host has this number.
+fn stand_by(world: &mut World, disk: &Disk, host: usize, failure_domain: &str) -> Admission {
+    let now = world.now;
+    let i = leader(world);
+    let address = &address(host);
+    let newcomer =
+        Newcomer { address, disk: &disk.id, failure_domain, stands_by: true, runs_as: None };
+    world.replicas[i].raft.as_mut().unwrap().admit(now, newcomer)
+}
+
+/// Load: five places founded by three; the first to ask is of a failure domain that holds a place already.
+#[test]
+fn vacant_places_go_to_failure_domains_that_hold_none() {
+    let mut world = World::of(5, 3);
+    run(&mut world, 80);
+    let [first, second, third, fourth] = [0; 4].map(|_| world.new_disk());
+    let founder = failure_domain(0);
+    assert_eq!(stand_by(&mut world, &first, 10, &founder), Admission::NotNow);
+    assert_eq!(stand_by(&mut world, &second, 11, "elsewhere"), Admission::Granted(4));
+    assert_eq!(stand_by(&mut world, &third, 12, "elsewhere"), Admission::NotNow, "promised");
+    assert_eq!(stand_by(&mut world, &fourth, 13, "yet elsewhere"), Admission::Granted(5));
+    assert_eq!(stand_by(&mut world, &first, 10, &founder), Admission::NotNow, "none is left");
+}
+
+#[test]
+fn a_vacant_place_goes_to_a_failure_domain_that_holds_one_where_no_other_asks() {
+    let mut world = World::of(5, 3);
+    run(&mut world, 80);
+    let disk = world.new_disk();
+    let founder = failure_domain(1);
+    for _ in 0..20 {
+        assert_eq!(stand_by(&mut world, &disk, 10, &founder), Admission::NotNow);
+        run(&mut world, 1);
+    }
+    assert_eq!(stand_by(&mut world, &disk, 10, &founder), Admission::Granted(4));
+}
+
+/// The place of a founder that is gone is left to its own failure domain, which holds no other.
+#[test]
+fn the_place_of_a_lost_replica_goes_to_the_failure_domain_that_lost_it() {
+    let mut world = World::of(5, 3);
+    run(&mut world, 80);
+    for (number, domain) in [(4, "fourth"), (5, "fifth")] {
+        let disk = world.replicas[number - 1].disk.clone();
+        let granted = stand_by(&mut world, &disk, number - 1, domain);
+        assert_eq!(granted, Admission::Granted(number as u64));
+    }
+    run(&mut world, 80);
+    let gone = (leader(&world) + 1) % 3;
+    let lost = failure_domain(gone);
+    world.replicas[gone].raft = None;
+    run(&mut world, 220);
+    let [far, near] = [0; 2].map(|_| world.new_disk());
+    assert_eq!(stand_by(&mut world, &far, 10, "fourth"), Admission::NotNow);
+    let place = Admission::Granted(gone as u64 + 1);
+    assert_eq!(stand_by(&mut world, &near, 11, &lost), place);
+}
--- a/crates/cherrystream-core/tests/raft_world/mod.rs
+++ b/crates/cherrystream-core/tests/raft_world/mod.rs
@@ -85,6 +85,15 @@
     format!("10.0.0.{}:7000", i + 1)
 }
 
+fn no_members() -> Members {
+    Members { disks: BTreeMap::new(), addresses: BTreeMap::new(), failure_domains: BTreeMap::new() }
+}
+
+/// Failure domain of the host of a replica.
+pub fn failure_domain(i: usize) -> String {
+    format!("domain-{}", i % 4)
+}
+
 fn name(entry: &Entry) -> String {
     format!("{}:{}", entry.term, serde_json::to_string(&entry.command).unwrap())
 }
@@ -161,6 +170,7 @@
             replicas: (1..=places as u64).collect(),
             addresses,
             may_found: i < self.founders,
+            failure_domain: failure_domain(i),
             seed: self.starts * 31 + id,
             started_ms: self.starts,
             ..Options::default()
@@ -266,8 +276,7 @@
         Snapshot {
             term,
             index,
-            members: members
-                .unwrap_or(Members { disks: BTreeMap::new(), addresses: BTreeMap::new() }),
+            members: members.unwrap_or_else(no_members),
             state: serde_json::to_string(&replica.applied).unwrap(),
         }
     }
--- a/crates/cherrystream-core/tests/raft_world/places.rs
+++ b/crates/cherrystream-core/tests/raft_world/places.rs
@@ -1,6 +1,6 @@
 //! Places: who asks for one, and hosts that lose their disks or are replaced.
 
-use super::{Replica, World, address};
+use super::{Replica, World, address, failure_domain};
 use cherrystream_core::raft::{Admission, Newcomer, Raft};
 
 impl World {
@@ -34,7 +34,13 @@
         let now = self.now;
         let disk = self.replicas[i].disk.id.clone();
         let address = address(i);
-        let newcomer = Newcomer { address: &address, disk: &disk, stands_by: false, runs_as };
+        let newcomer = Newcomer {
+            address: &address,
+            disk: &disk,
+            failure_domain: &failure_domain(i),
+            stands_by: false,
+            runs_as,
+        };
         let rafts = self.replicas.iter_mut().filter_map(|r| r.raft.as_mut());
         let mut answers = rafts.map(|raft| raft.admit(now, newcomer));
         answers.find(|answer| *answer != Admission::NotNow).unwrap_or(Admission::NotNow)
--- /dev/null
+++ b/crates/cherrystream-core/tests/replica_choice.rs
@@ -0,0 +1,92 @@
+//! Which control replica a daemon keeps to.
+
+use cherrystream_core::replica_choice::{self, ReplicaChoice};
+use cherrystream_core::units::Timestamp;
+use cherrystream_schema::messages::ReplicaAddress;
+use std::time::Duration;
+
+fn replica(address: &str, failure_domain: &str) -> ReplicaAddress {
+    ReplicaAddress { address: address.into(), failure_domain: Some(failure_domain.into()) }
+}
+
+fn seeds() -> Vec<String> {
+    ["a:1", "b:1", "c:1"].map(String::from).to_vec()
+}
+
+const START: Timestamp = Timestamp::from_millis(1_000);
+
+#[test]
+fn the_replica_of_the_own_failure_domain_is_tried_as_soon_as_one_tells_of_it() {
+    let mut choice = ReplicaChoice::new("d", seeds(), 1);
+    assert_eq!(choice.next(START), Some("b:1"));
+    choice.learn(&[replica("a:1", "a"), replica("b:1", "b"), replica("d:1", "d")]);
+    assert!(choice.is_nearer_known(START, "b:1"));
+    assert_eq!(choice.next(START), Some("d:1"));
+    assert!(!choice.is_nearer_known(START, "d:1"));
+}
+
+/// A daemon that was driven far away stays there until the one nearby had time to come back, then returns.
+#[test]
+fn a_daemon_comes_back_to_the_replica_of_its_failure_domain() {
+    let mut choice = ReplicaChoice::new("a", Vec::new(), 0);
+    choice.learn(&[replica("a:1", "a"), replica("b:1", "b")]);
+    choice.on_lost(START, "a:1", Duration::ZERO);
+    assert_eq!(choice.next(START), Some("b:1"));
+    choice.on_served("b:1");
+    let soon = Timestamp::from_millis(1_400);
+    assert!(!choice.is_nearer_known(soon, "b:1"));
+    let later = Timestamp::from_millis(1_500);
+    assert!(choice.is_nearer_known(later, "b:1"));
+    assert_eq!(choice.next(later), Some("a:1"));
+}
+
+/// Load: a replica that stays silent. Each try takes a daemon from the one that serves it, for as long as a call waits.
+#[test]
+fn a_replica_that_stays_silent_takes_a_small_share_of_the_time() {
+    let mut choice = ReplicaChoice::new("a", Vec::new(), 0);
+    choice.learn(&[replica("a:1", "a"), replica("b:1", "b")]);
+    let call = Duration::from_millis(1_200);
+    let (mut now, mut without) = (START, Duration::ZERO);
+    while now < Timestamp::from_millis(61_000) {
+        if choice.is_nearer_known(now, "b:1") {
+            now = now + call;
+            without += call;
+            choice.on_lost(now, "a:1", call);
+        }
+        now = now + Duration::from_millis(100);
+    }
+    assert!(without <= Duration::from_secs(11), "{without:?} of a minute without control");
+}
+
+#[test]
+fn all_are_tried_in_turn_while_none_answers() {
+    let mut choice = ReplicaChoice::new("a", seeds(), 0);
+    let mut tried = Vec::new();
+    for _ in 0..6 {
+        let address = choice.next(START).unwrap().to_string();
+        choice.on_lost(START, &address, Duration::ZERO);
+        tried.push(address);
+    }
+    for seed in seeds() {
+        assert!(tried.contains(&seed), "{seed} was not tried: {tried:?}");
+    }
+}
+
+/// Replicas that stand by tell addresses only.
+#[test]
+fn a_failure_domain_that_was_told_is_kept() {
+    let mut choice = ReplicaChoice::new("a", seeds(), 0);
+    choice.on_domain("c:1", "a");
+    let unknown = |address: String| ReplicaAddress { address, failure_domain: None };
+    choice.learn(&seeds().into_iter().map(unknown).collect::<Vec<_>>());
+    assert_eq!(choice.next(START), Some("c:1"));
+}
+
+#[test]
+fn a_checksum_tells_whether_the_replicas_are_known() {
+    let told = [replica("a:1", "a"), replica("b:1", "b")];
+    let mut choice = ReplicaChoice::new("a", Vec::new(), 0);
+    choice.learn(&told);
+    assert_eq!(choice.checksum(), replica_choice::checksum(&told));
+    assert_ne!(choice.checksum(), replica_choice::checksum(&[replica("a:1", "b")]));
+}
--- a/crates/cherrystream-core/tests/transfer/lanes.rs
+++ b/crates/cherrystream-core/tests/transfer/lanes.rs
@@ -30,7 +30,11 @@
 }
 
 fn snapshot(term: u64, index: u64, bytes: usize) -> RaftMessage {
-    let members = Members { disks: BTreeMap::new(), addresses: BTreeMap::new() };
+    let members = Members {
+        disks: BTreeMap::new(),
+        addresses: BTreeMap::new(),
+        failure_domains: BTreeMap::new(),
+    };
     let snapshot = Snapshot { term: 1, index, members, state: "x".repeat(bytes) };
     message(term, RaftBody::Install { snapshot, round: 9 })
 }
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -15,6 +15,7 @@
 use crate::sync::{Downloads, Newer, Sync, Tools};
 use cherrystream_core::attempts::{self, Attempts};
 use cherrystream_core::distribution::Library;
+use cherrystream_core::replica_choice::ReplicaChoice;
 use cherrystream_core::units::Revision;
 use cherrystream_net::body::Body;
 use cherrystream_net::clock::Clock;
@@ -123,8 +124,12 @@
         }));
         let sync = Arc::new(Sync {
             held: held.clone(),
+            control: Mutex::new(ReplicaChoice::new(
+                &record.failure_domain,
+                control,
+                record.incarnation,
+            )),
             record,
-            control: Mutex::new(control),
             reread: cx.reread,
             fixed: settings.seeds.is_none(),
             instances: instances.clone(),
@@ -134,6 +139,7 @@
             peers,
             downloads: downloads.clone(),
             told: Mutex::default(),
+            clock,
             phases: cx.phases.clone(),
             ready: cx.ready.clone(),
             metrics: cx.metrics.clone(),
--- a/crates/cherrystream-daemon/src/sync/mod.rs
+++ b/crates/cherrystream-daemon/src/sync/mod.rs
@@ -12,8 +12,10 @@
 use crate::metrics::{Metrics, ReasonLabel};
 use crate::peer::Peers;
 use crate::role::SeedReader;
+use cherrystream_core::replica_choice::ReplicaChoice;
 use cherrystream_core::units::{Dotted, Revision};
 use cherrystream_net::body::{self, Start};
+use cherrystream_net::clock::Clock;
 use cherrystream_net::key::Secret;
 use cherrystream_net::rpc::{self, ControlRpcClient};
 use cherrystream_net::serve::{Phase, Phases};
@@ -56,8 +58,8 @@
     pub held: Arc<HeldCell>,
     /// Registration of this host.
     pub record: HostRecord,
-    /// RPC addresses of the control replicas.
-    pub control: Mutex<Vec<String>>,
+    /// The control replicas. Taken with no other lock.
+    pub control: Mutex<ReplicaChoice>,
     /// Reads the seeds again when control is lost.
     pub reread: SeedReader,
     /// Whether these stay as they are.
@@ -76,6 +78,8 @@
     pub downloads: Arc<Downloads>,
     /// The newest revision that control told of, and when.
     pub told: Mutex<Option<Told>>,
+    /// The clock.
+    pub clock: Clock,
     /// Phase of the process.
     pub phases: Phases,
     /// Set once a configuration is held.
@@ -87,22 +91,23 @@
 impl Sync {
     /// Runs for as long as the process does.
     pub async fn run(self: Arc<Self>) {
-        let mut turn = self.first_turn();
         let mut search = Search::default();
         loop {
-            let address = self.address(turn);
+            let address = self.address();
+            let started = Instant::now();
             let left = match self.connect(&address, search.confirmed).await {
                 Ok(client) => {
                     let client = Arc::new(client);
                     self.downloads.set_control(Some(client.clone()));
-                    let left = self.follow(&client, &mut search).await;
+                    let left = self.follow(&client, &address, &mut search).await;
                     self.downloads.set_control(None);
                     left
                 }
-                Err(what) => Left::Lost(what),
+                Err(what) => Left::Lost { what, took: started.elapsed() },
             };
-            turn += 1;
-            let Left::Lost(what) = left else { continue };
+            let Left::Lost { what, took } = left else { continue };
+            self.control.lock().on_lost(self.clock.now(), &address, took);
+            search.tries += 1;
             if !search.away {
                 log::warn!("sync: control is away: {what}");
             }
@@ -111,7 +116,7 @@
             if !search.confirmed {
                 self.ask_peers().await;
             }
-            self.add_seeds(turn);
+            self.add_seeds(search.tries);
             let pause = if search.confirmed { PAUSE } else { PAUSE_AT_START };
             tokio::time::sleep(pause).await;
         }
@@ -128,14 +133,8 @@
         }
     }
 
-    /// Hosts spread over the replicas by their incarnation.
-    fn first_turn(&self) -> usize {
-        (self.record.incarnation % self.control.lock().len().max(1) as u64) as usize
-    }
-
-    fn address(&self, turn: usize) -> String {
-        let control = self.control.lock();
-        control.get(turn % control.len().max(1)).cloned().unwrap_or_default()
+    fn address(&self) -> String {
+        self.control.lock().next(self.clock.now()).unwrap_or_default().into()
     }
 
     fn call_timeout(&self) -> Duration {
@@ -146,44 +145,50 @@
         if self.fixed { WAIT } else { SHORT_WAIT }
     }
 
-    /// Sends heartbeats until one fails, and tells why it did. A replica of another failure domain is left at once
-    /// while there are others that were not tried.
-    async fn follow(&self, client: &WsClient, search: &mut Search) -> Left {
+    /// Sends heartbeats until one fails, and tells why it did. A replica of another failure domain is left when one
+    /// nearby is known.
+    async fn follow(&self, client: &WsClient, address: &str, search: &mut Search) -> Left {
         let mut news =
             News { instance: self.instances.subscribe(), ended: self.downloads.subscribe() };
         let mut keeps_to_it = false;
         loop {
             news.mark_unchanged();
-            let looks_in = !self.fixed && !keeps_to_it && search.far < self.control.lock().len();
+            let looks_in = !self.fixed && !keeps_to_it && !self.is_known_near(address);
             let reply = match self.call(client, search.confirmed, looks_in, &mut news).await {
                 Called::Answered(reply) => reply,
                 Called::Abandoned => continue,
-                Called::Failed(what) => return Left::Lost(what),
+                Called::Failed { what, took } => return Left::Lost { what, took },
             };
             if std::mem::take(&mut search.away) {
                 log::info!("sync: control is back");
             }
-            self.learn_replicas(&reply.control);
+            self.learn_replicas(address, &reply);
             let state_age = Duration::from_millis(reply.state_age_ms);
             if !self.fixed && state_age > STATE_AGE_AT_MOST {
                 self.take_state(SyncReply { offer: None, ..*reply });
-                return Left::Lost(format!("it has not caught up with a quorum for {state_age:?}"));
+                let what = format!("it has not caught up with a quorum for {state_age:?}");
+                return Left::Lost { what, took: Duration::ZERO };
             }
             search.confirmed = true;
             if self.instances.on_confirmed(reply.instance.as_ref(), reply.newest) {
                 news.instance.mark_unchanged();
             }
             self.metrics.unconfirmed.set(0);
-            let near = self.is_near(&reply);
             self.take_state(*reply);
-            if looks_in && !near {
-                search.far += 1;
+            if self.leaves_for_nearer(address) {
                 return Left::TooFar;
             }
-            (keeps_to_it, search.far) = (true, 0);
+            keeps_to_it = true;
         }
     }
 
+    /// Notes that a replica serves this daemon, and returns whether one nearby is to be tried in its place.
+    fn leaves_for_nearer(&self, address: &str) -> bool {
+        let mut control = self.control.lock();
+        control.on_served(address);
+        !self.fixed && control.is_nearer_known(self.clock.now(), address)
+    }
+
     /// Makes one heartbeat call, unless something changes that control should hear first.
     async fn call(
         &self,
@@ -208,7 +213,7 @@
             Err(e) => {
                 let (took, held) = (started.elapsed(), Dotted(self.held.revision()));
                 let what = format!("{e} after {took:?}, {held} is held");
-                self.count_call("failed", Called::Failed(what))
+                self.count_call("failed", Called::Failed { what, took })
             }
         }
     }
@@ -218,9 +223,8 @@
         called
     }
 
-    fn is_near(&self, reply: &SyncReply) -> bool {
-        let domain = reply.failure_domain.as_ref();
-        domain.is_none_or(|domain| *domain == self.record.failure_domain)
+    fn is_known_near(&self, address: &str) -> bool {
+        self.control.lock().is_known_near(address)
     }
 
     fn heartbeat(&self, leaving: bool, confirmed: bool) -> SyncRequest {
@@ -232,6 +236,7 @@
             instance: self.instances.current(),
             fetching: self.downloads.status(),
             looks_in: false,
+            control_known: if self.fixed { 0 } else { self.control.lock().checksum() },
         }
     }
 
@@ -280,21 +285,22 @@
 
     /// Adds the seeds that the settings name now, once in a round of failed attempts: the replicas
     /// known so far may all be gone.
-    fn add_seeds(&self, turn: usize) {
+    fn add_seeds(&self, tries: usize) {
         let mut control = self.control.lock();
-        if self.fixed || !turn.is_multiple_of(control.len().max(1)) {
+        if self.fixed || !tries.is_multiple_of(control.len().max(1)) {
             return;
         }
-        for address in (self.reread)().into_iter().flatten() {
-            if !control.contains(&address) {
-                control.push(address);
-            }
-        }
+        control.add((self.reread)().into_iter().flatten());
     }
 
-    fn learn_replicas(&self, addresses: &[String]) {
-        if !self.fixed && !addresses.is_empty() {
-            *self.control.lock() = addresses.to_vec();
+    fn learn_replicas(&self, address: &str, reply: &SyncReply) {
+        if self.fixed {
+            return;
+        }
+        let mut control = self.control.lock();
+        control.learn(&reply.control);
+        if let Some(failure_domain) = &reply.failure_domain {
+            control.on_domain(address, failure_domain);
         }
     }
 
@@ -370,8 +376,8 @@
     confirmed: bool,
     /// Whether control is away.
     away: bool,
-    /// Replicas that were too far since this daemon last kept to one.
-    far: usize,
+    /// Replicas that were lost since the start.
+    tries: usize,
 }
 
 /// Changes here that end a heartbeat call, for control should hear of them.
@@ -403,14 +409,24 @@
     Answered(Box<SyncReply>),
     /// Given up for something newer to tell.
     Abandoned,
-    /// Without an answer, for this reason.
-    Failed(String),
+    /// Without an answer.
+    Failed {
+        /// Why.
+        what: String,
+        /// How long the call took.
+        took: Duration,
+    },
 }
 
 /// Why a replica was left.
 enum Left {
     /// It does not answer, or cannot.
-    Lost(String),
-    /// Another one may be nearer.
+    Lost {
+        /// Why.
+        what: String,
+        /// How long the call took that showed it.
+        took: Duration,
+    },
+    /// Another one is nearer.
     TooFar,
 }
