Changes that come together are told to daemons together

Cause: at the start and after a loss of power 300 daemons register within 1.5 s, each twice, and each registration was a message of its own to each daemon: some 60 updates a daemon, for each of which it builds its tables anew.

Change: a replica lets its open heartbeats go at once after a quiet time, else every 200 ms (core::distribution::Gather, control::release); what has come together by then is mostly long enough to be encoded once. Who asks for a confirmed state gets all of it as before.

Test: distribution::changes_that_come_together_are_told_together (300 changes in 1.5 s: 8 times at most).

--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod reach;
 pub mod recall;
 mod records;
+pub mod release;
 pub mod role;
 pub mod rpc_server;
 mod snapshots;
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -14,6 +14,7 @@
 use crate::place::{self, Finder, Place};
 use crate::platform;
 use crate::reach::Reach;
+use crate::release;
 use crate::rpc_server::{LedgerLimits, RpcServer};
 use cherrystream_core::raft::asking::Asking;
 use cherrystream_net::interface::OrderInterface;
@@ -91,6 +92,7 @@
         let limits =
             LedgerLimits { window_ms: settings.key_window_ms, keys_at_most: settings.keys_at_most };
         let rpc = RpcServer {
+            released: release::start(handle.clone()),
             handle: handle.clone(),
             lines,
             reach,
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -29,6 +29,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// Connections that one replica takes: every daemon may come when the other replicas are gone.
 const CONNECTIONS: u32 = 4_096;
@@ -55,6 +56,8 @@
 pub struct RpcServer {
     /// The replicated log.
     pub handle: Handle,
+    /// Revision that daemons may be told of.
+    pub released: watch::Receiver<Revision>,
     /// Lines to the other replicas.
     pub lines: Arc<BTreeMap<u64, Arc<Line>>>,
     /// Daemons heard.
@@ -178,6 +181,10 @@
 
     /// Waits until there is something that a daemon may have now, or the wait is over.
     async fn lacking(&self, req: &SyncRequest, until: Instant) -> Lacking {
+        // One that asks for all that is accepted gets what is not told to others yet, too.
+        if !req.confirmed && *self.released.borrow() <= req.held {
+            return Lacking::Nothing;
+        }
         loop {
             let now = self.handle.clock.now();
             let state = &self.handle.state;
@@ -185,7 +192,7 @@
             let waits = match lacking {
                 Lacking::Later => true,
                 // Something newer is there, but not for this daemon now.
-                Lacking::Nothing => state.read().revision() > req.held,
+                Lacking::Nothing => *self.released.borrow() > req.held,
                 Lacking::Short(_) | Lacking::Long(_) => false,
             };
             if !waits || Instant::now() + LOOK_AGAIN > until {
@@ -219,8 +226,8 @@
     }
 
     async fn wait_for_change(&self, held: Revision, until: Instant) {
-        let mut standing = self.handle.standing.clone();
-        let changed = standing.wait_for(|_| self.handle.state.read().revision() > held);
+        let mut released = self.released.clone();
+        let changed = released.wait_for(|revision| *revision > held);
         let _ = tokio::time::timeout_at(until.into(), changed).await;
     }
 
--- a/crates/cherrystream-core/tests/distribution.rs
+++ b/crates/cherrystream-core/tests/distribution.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbtest;
 use cherrystream_core::distribution::{
-    Asker, BYTES_AT_MOST, ChunkFault, Crossing, Download, Encoded, Library, Taken, Way,
+    Asker, BYTES_AT_MOST, ChunkFault, Crossing, Download, Encoded, Gather, Library, Taken, Way,
 };
 use cherrystream_core::shared;
 use cherrystream_core::state::{ControlState, Step};
@@ -244,3 +244,20 @@
     crossing.on_chunk(at(1), asker("f1", "far"), id, 0);
     assert_eq!(crossing.way(at(2), asker("f2", "far"), id, |_| false), Way::Here);
 }
+
+/// Load: a registration every 5 ms for 1.5 s.
+#[test]
+fn changes_that_come_together_are_told_together() {
+    let mut gather = Gather::default();
+    let start = Timestamp::from_millis(10_000);
+    assert_eq!(gather.due(start), start, "after a quiet time at once");
+    let (mut told, mut due) = (0, None);
+    for ms in (0..1_500).step_by(5) {
+        let now = start + Duration::from_millis(ms);
+        if now >= *due.get_or_insert_with(|| gather.due(now)) {
+            gather.on_told(now);
+            (told, due) = (told + 1, None);
+        }
+    }
+    assert!(told <= 8, "daemons were told {told} times of 300 changes");
+}
