Reports and daemons wait for the word of control instead of coming again

Change: a report waits for the word of control within the 850 ms that whoever reports waits; a replica waits up to 400 ms for a leader before it turns a registration away.

--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -39,6 +39,9 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(80);
 /// Longest wait until a registration that is committed is applied here: far less than whoever reported it waits.
 const WAIT_FOR_REGISTRATION: Duration = Duration::from_millis(300);
+/// Longest wait for a leader to register a daemon with: an election. A daemon that is refused comes again at once, on a
+/// connection of its own; 300 of them kept replicas busy that had an election to hold.
+const WAIT_FOR_LEADER: Duration = Duration::from_millis(400);
 /// When a claim refused for want of room is worth sending again.
 const FULL_RETRY_MS: u64 = 5_000;
 
@@ -214,6 +217,7 @@
     }
 
     async fn share_anywhere(&self, change: Change) -> Result<(), ErrorObjectOwned> {
+        self.wait_for_leader().await;
         match self.handle.propose(Command::Share { change: change.clone() }).await {
             Ok(_) => Ok(()),
             Err(NoResult::NotLeader { leader: Some(leader) }) => {
@@ -225,6 +229,12 @@
         }
     }
 
+    async fn wait_for_leader(&self) {
+        let mut standing = self.handle.standing.clone();
+        let known = standing.wait_for(|standing| standing.leader.is_some());
+        let _ = tokio::time::timeout(WAIT_FOR_LEADER, known).await;
+    }
+
     async fn wait_for_change(&self, held: Revision, until: Instant) {
         let mut released = self.released.clone();
         let changed = released.wait_for(|revision| *revision > held);
--- /dev/null
+++ b/crates/cherrystream-control/tests/leaderless.rs
@@ -0,0 +1,81 @@
+//! Daemons that come to a replica before there is a leader.
+
+use cherrystream_control::role::{Context, Control};
+use cherrystream_core::settings;
+use cherrystream_core::units::Revision;
+use cherrystream_net::rpc::{self, ControlRpcClient};
+use cherrystream_net::serve::Phases;
+use cherrystream_schema::messages::{HostRecord, SyncRequest};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Longest time for a call.
+const CALL: Duration = Duration::from_secs(5);
+
+fn base() -> String {
+    format!("127.90.{}", 1 + std::process::id() % 250)
+}
+
+async fn start(n: u8, folder: &Path) -> Control {
+    let base = base();
+    let text = format!(
+        "host: core-{n}\nfailure_domain: z{n}\nclosed_network: true\ncontrol:\n  rpc_address: \
+         {base}.{n}:7620\n  api_address: {base}.{n}:8306\n  data_folder: {}/{n}\n  found: true\n  \
+         seeds: {{addresses: ['{base}.1:8306', '{base}.2:8306', '{base}.3:8306'], rpc_port: 7620}}\n",
+        folder.display()
+    );
+    let all = settings::read(&text).unwrap();
+    let cx = Context {
+        phases: Phases::default(),
+        key: None,
+        failure_domain: all.failure_domain.clone(),
+        orders: None,
+        metrics: Default::default(),
+        on_failure: Box::new(|what| panic!("{what}")),
+    };
+    Control::start(all.control.as_ref().unwrap(), cx).await.unwrap()
+}
+
+fn heartbeat() -> SyncRequest {
+    let record = HostRecord {
+        host: "h1".into(),
+        failure_domain: "z1".into(),
+        region: "r".into(),
+        peer_address: "127.0.0.1:1".into(),
+        incarnation: 1,
+        leaving: false,
+    };
+    SyncRequest {
+        record,
+        held: Revision::default(),
+        confirmed: true,
+        wait_ms: 0,
+        instance: None,
+        fetching: None,
+        looks_in: true,
+        control_known: 0,
+    }
+}
+
+/// Load: a daemon that asks again 40 ms after each refusal, while a group is founded 0.5 s after its first replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_is_not_refused_again_and_again_while_there_is_no_leader() {
+    let folder = tempfile::tempdir().unwrap();
+    let _first = start(1, folder.path()).await;
+    let started = Instant::now();
+    let asking = tokio::spawn(async {
+        let client = rpc::connect(&format!("{}.1:7620", base()), None, CALL).await.unwrap();
+        let mut refused = 0;
+        while client.sync(heartbeat()).await.is_err() {
+            refused += 1;
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+        refused
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let _others = (start(2, folder.path()).await, start(3, folder.path()).await);
+    let refused = asking.await.unwrap();
+    let took = started.elapsed();
+    let at_most = 1 + took.as_millis() / 400;
+    assert!(refused <= at_most, "refused {refused} times in {took:?}");
+}
--- a/crates/cherrystream-core/src/instances.rs
+++ b/crates/cherrystream-core/src/instances.rs
@@ -155,6 +155,11 @@
         self.ended.drain(..excess);
     }
 
+    /// Returns whether it is known what was registered before this process started.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
     /// Returns whether everything that was reported is registered.
     pub fn is_registered(&self) -> bool {
         self.wanted.is_none()
--- a/crates/cherrystream-daemon/src/instances.rs
+++ b/crates/cherrystream-daemon/src/instances.rs
@@ -15,7 +15,8 @@
 
 /// Largest report.
 const REPORT_BYTES: usize = 64 * 1024;
-/// Longest wait for a registration: whoever reports would otherwise give up first.
+/// Longest wait for a registration, or for the word of what was registered before: whoever reports would otherwise give
+/// up first, and come back only after a second or two.
 const REGISTRATION_WAIT: Duration = Duration::from_millis(850);
 
 /// Keeps what is known of the instance.
@@ -81,11 +82,24 @@
             });
         };
         match self.interface.read_report(&head, &bytes) {
-            Ok(report) => self.keep(report).await,
+            Ok(report) => self.report(report).await,
             Err(fault) => ReportAnswer::Bad(fault),
         }
     }
 
+    /// Takes what the instance says of itself, and returns once it is registered or cannot be in time. A report that
+    /// comes before the word of control waits for it: after a loss of power all backend servers report while their
+    /// daemons still look for a leader.
+    pub async fn report(&self, report: InstanceReport) -> ReportAnswer {
+        let mut changes = self.changes.subscribe();
+        let in_time = async {
+            // The sender lives as long as this does, so the wait cannot fail.
+            let _ = changes.wait_for(|_| self.keeper.lock().is_confirmed()).await;
+            self.keep(report).await
+        };
+        tokio::time::timeout(REGISTRATION_WAIT, in_time).await.unwrap_or(ReportAnswer::NotNow)
+    }
+
     async fn keep(&self, report: InstanceReport) -> ReportAnswer {
         let before = self.current();
         let verdict = self.keeper.lock().on_report(report);
@@ -103,10 +117,9 @@
 
     async fn await_registration(&self) -> ReportAnswer {
         let mut changes = self.changes.subscribe();
-        let registered = changes.wait_for(|_| self.keeper.lock().is_registered());
-        match tokio::time::timeout(REGISTRATION_WAIT, registered).await {
-            Ok(Ok(_)) => ReportAnswer::Taken,
-            _ => ReportAnswer::NotNow,
+        match changes.wait_for(|_| self.keeper.lock().is_registered()).await {
+            Ok(_) => ReportAnswer::Taken,
+            Err(_) => ReportAnswer::NotNow,
         }
     }
 
