A call for an earlier instance is served by the one that runs now

Change: a door serves a call for an instance that it does not know by the instance of the same service beside it, unless the ledger holds a claim for the other one. A backend server that says that it is another instance closes the door until one reports, and the sender leaves it alone for a while: each further send was turned away and counted as an arrival.

Tests: successors::*, whole_path::a_back_end_that_is_gone_is_sent_no_further_requests.

--- a/crates/cherrystream-daemon/src/doors.rs
+++ b/crates/cherrystream-daemon/src/doors.rs
@@ -61,6 +61,12 @@
         self.doors.read().get(&name).cloned()
     }
 
+    /// Returns the door to the instance that reports itself, if it is of a service.
+    pub fn instance_of(&self, service: &str) -> Option<Arc<Door>> {
+        let instance = self.instance.read();
+        instance.as_ref().filter(|door| *door.id.service == *service).cloned()
+    }
+
     /// Returns the doors to backend servers that operators have listed; these are measured.
     pub fn listed(&self) -> Vec<Arc<Door>> {
         self.doors.read().values().cloned().collect()
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -21,7 +21,7 @@
 use cherrystream_net::pool::{Connection, NoAnswer};
 use cherrystream_net::serve::{Phase, Phases};
 use cherrystream_net::stall;
-use cherrystream_schema::messages::{AttemptState, FenceRequest, Report};
+use cherrystream_schema::messages::{AttemptState, FenceRequest, Report, ServerState};
 use http::{Request, Response, response};
 use http_body::Body as _;
 use parking_lot::Mutex;
@@ -121,7 +121,7 @@
 impl Inbound {
     /// Passes a request to its backend server.
     pub async fn call(self: &Arc<Self>, call: InboundCall) -> InboundAnswer {
-        let Some(door) = self.doors.get(&call.service, &call.server) else {
+        let Some(door) = self.door_for(&call) else {
             return InboundAnswer { result: Err(self.refuse(Reason::NotHere)), report: None };
         };
         let result = match self.check_leaving() {
@@ -131,9 +131,20 @@
         InboundAnswer { result, report: Some(door.report(self.incarnation)) }
     }
 
+    /// Returns the door that a call goes through. Its sender may know an earlier instance only, as after a loss of power,
+    /// when all backend servers run anew; the one that runs now serves the call as well. A claim in the ledger is for one
+    /// backend server.
+    fn door_for(&self, call: &InboundCall) -> Option<Arc<Door>> {
+        let named = self.doors.get(&call.service, &call.server);
+        named.or_else(|| match call.claimed {
+            None => self.doors.instance_of(&call.service),
+            Some(_) => None,
+        })
+    }
+
     /// Keeps a slot for a call whose body is not here yet.
     pub async fn reserve(&self, call: InboundCall) -> Reserved {
-        let Some(door) = self.doors.get(&call.service, &call.server) else {
+        let Some(door) = self.door_for(&call) else {
             return Reserved { result: Err(self.refuse(Reason::NotHere)), report: None };
         };
         let result = match self.check_leaving() {
@@ -286,7 +297,7 @@
     /// Checks that the answer belongs to the call, and frees the slot at its end.
     fn check_answer(
         &self,
-        door: &Door,
+        door: &Arc<Door>,
         res: Response<Body>,
         call: &str,
         permit: Permit,
@@ -298,7 +309,12 @@
         match self.interface.read_execution(&parts, call) {
             Execution::Ran => {}
             Execution::NotRun => return Err(self.refuse(Reason::BackendServerRefused)),
-            Execution::OtherInstance => return Err(self.refuse(Reason::OtherInstance)),
+            Execution::OtherInstance => {
+                // The instance is gone, and whoever took its address has not reported yet. Each further send would be
+                // turned away as well, and count among the arrivals that a request may have.
+                door.on_check(Check::Said(ServerState::Down));
+                return Err(self.refuse(Reason::OtherInstance));
+            }
             Execution::WrongRequest => return Err(self.refuse(Reason::WrongCall)),
         }
         headers::remove_hop_by_hop(&mut parts.headers);
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -308,6 +308,7 @@
             | Reason::HostLeaving
             | Reason::BackendServerDown
             | Reason::NotHere
+            | Reason::OtherInstance
             | Reason::PeerUnreachable
     )
 }
--- /dev/null
+++ b/crates/cherrystream-daemon/tests/successors.rs
@@ -0,0 +1,102 @@
+//! Calls for an instance that another one of its service has followed.
+
+use cherrystream_core::attempts::{Claimed, RequestKey};
+use cherrystream_core::deadline::Deadline;
+use cherrystream_core::reasons::Reason;
+use cherrystream_core::settings;
+use cherrystream_daemon::inbound::InboundCall;
+use cherrystream_daemon::own_interface::OwnInterface;
+use cherrystream_daemon::role::{Context, Daemon};
+use cherrystream_net::body;
+use cherrystream_net::clock::Clock;
+use cherrystream_net::serve::Phases;
+use cherrystream_schema::messages::{Instance, ServerState};
+use http::Request;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_millis(500);
+
+/// Starts a daemon beside an instance, `i-2` of `orders`.
+async fn daemon() -> Daemon {
+    let text = "host: own\nfailure_domain: a\nclosed_network: true\ndaemon:\n  caller_address: \
+                127.0.0.1:0\n  peer_address: 127.0.0.1:0\n  control: [127.0.0.1:1]\n";
+    let all = settings::read(text).unwrap();
+    let cx = Context {
+        phases: Phases::default(),
+        key: None,
+        interface: Arc::new(OwnInterface),
+        reread: Arc::new(|| None),
+        metrics: Default::default(),
+        ready: Arc::new(AtomicBool::new(false)),
+    };
+    let daemon = Daemon::start(&all, all.daemon.as_ref().unwrap(), cx).await.unwrap();
+    daemon.inbound().doors.set_instance(Some(&instance(ServerState::Live)));
+    daemon
+}
+
+fn instance(state: ServerState) -> Instance {
+    Instance {
+        id: "i-2".into(),
+        service: "orders".into(),
+        address: "127.0.0.1:1".into(),
+        slots: 4,
+        state,
+        sequence: 1,
+    }
+}
+
+/// A call for `i-1`, which ran beside the daemon before.
+fn call(service: &str) -> InboundCall {
+    InboundCall {
+        service: service.into(),
+        server: "i-1".into(),
+        kind: "r-1".into(),
+        caller: None,
+        weight: 1,
+        deadline: Deadline::new(Clock::default().now(), None, WAIT),
+        wait_at_most: WAIT,
+        selective: false,
+        good_for: None,
+        reservation: None,
+        call: "call-1".into(),
+        claimed: None,
+        req: Request::new(body::empty()),
+    }
+}
+
+/// Load: all hosts are back after a loss of power and hold the state of before, in which every instance is an earlier
+/// one.
+#[tokio::test]
+async fn the_instance_that_runs_now_serves_a_call_for_an_earlier_one() {
+    let daemon = daemon().await;
+    let reserved = daemon.inbound().reserve(call("orders")).await;
+    assert!(reserved.result.is_ok(), "{:?}", reserved.result.err().map(|refused| refused.reason));
+}
+
+#[tokio::test]
+async fn an_instance_of_another_service_serves_no_such_call() {
+    let daemon = daemon().await;
+    let refused = daemon.inbound().reserve(call("quotes")).await.result.err().unwrap();
+    assert_eq!(refused.reason, Reason::NotHere);
+}
+
+#[tokio::test]
+async fn an_instance_that_leaves_serves_no_such_call() {
+    let daemon = daemon().await;
+    daemon.inbound().doors.set_instance(Some(&instance(ServerState::Draining)));
+    let refused = daemon.inbound().reserve(call("orders")).await.result.err().unwrap();
+    assert_eq!(refused.reason, Reason::Draining);
+}
+
+/// The ledger holds which backend server an attempt is for.
+#[tokio::test]
+async fn a_claimed_call_goes_to_its_own_backend_server_only() {
+    let daemon = daemon().await;
+    let key = RequestKey { service: "orders".into(), key: "key-1".into() };
+    let claimed = Claimed { claim: 1, index: 1, incarnation: daemon.inbound().incarnation };
+    let call = InboundCall { claimed: Some((key, claimed)), ..call("orders") };
+    let refused = daemon.inbound().call(call).await.result.err().unwrap();
+    assert_eq!(refused.reason, Reason::NotHere);
+}
