--- a/crates/cherrystream-control/tests/driver.rs
+++ b/crates/cherrystream-control/tests/driver.rs
@@ -64,7 +64,7 @@
 /// Routes of one large table.
 const LARGE: u64 = 14_000;
 /// Longest time without an answer of the thread that drives the log: the time between heartbeats where replicas come and
-/// go. Debug build on 8 cores: 894 ms where it applied the table itself, 5 ms since another thread does.
+/// go. Debug build on 8 cores: 776 ms where it applied the table itself, 5 ms since another thread does.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
 /// Load: one table of 14,000 routes. A leader that stands still for an election's time is replaced.
