Registrations and confirmed reads of many daemons go to the leader together

Cause, by logs of all power lost at 300 daemons: a leader is there 0.15 s after power is back, the daemons' state only 0.4 to 0.9 s after it: each daemon costs its replica and the leader a call to register, an entry of the log and a read to confirm, one by one, on a seventh of a core.

Change: what comes while a call is under way goes with the next one (control::together, control::registrar); an entry may hold several changes; a daemon's host and instance go in one. The estimate of a message's bytes counts patches of route tables, which it had taken for short.

Tests: together::* (280 daemons at once: at most 4 calls; nobody gets an answer of a call that began before it asked).

--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -14,6 +14,7 @@
 use crate::place::{self, Finder, Place};
 use crate::platform;
 use crate::reach::Reach;
+use crate::registrar::Registrar;
 use crate::release;
 use crate::rpc_server::{LedgerLimits, RpcServer};
 use cherrystream_core::raft::asking::Asking;
@@ -98,6 +99,7 @@
             reach,
             arrivals: Arrivals::new(handle.events.clone()),
             distribution: Arc::new(Distribution::new(&cx.failure_domain)),
+            registrar: Registrar::start(&operators, cx.metrics.clone()),
             operators: operators.clone(),
             limits,
             failure_domain: (!place.fixed).then(|| cx.failure_domain.clone()),
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -8,6 +8,7 @@
 use crate::operators::Operators;
 use crate::peers::Line;
 use crate::reach::Reach;
+use crate::registrar::Registrar;
 use cherrystream_core::instances;
 use cherrystream_core::ledger;
 use cherrystream_core::raft::Admission;
@@ -39,9 +40,6 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(80);
 /// Longest wait until a registration that is committed is applied here: far less than whoever reported it waits.
 const WAIT_FOR_REGISTRATION: Duration = Duration::from_millis(300);
-/// Longest wait for a leader to register a daemon with: an election. A daemon that is refused comes again at once, on a
-/// connection of its own; 300 of them kept replicas busy that had an election to hold.
-const WAIT_FOR_LEADER: Duration = Duration::from_millis(400);
 /// When a claim refused for want of room is worth sending again.
 const FULL_RETRY_MS: u64 = 5_000;
 
@@ -69,6 +67,8 @@
     pub distribution: Arc<Distribution>,
     /// Operators' calls.
     pub operators: Operators,
+    /// Registrations of daemons and instances.
+    pub registrar: Registrar,
     /// Long messages on their way here.
     pub arrivals: Arrivals,
     /// Limits of the ledger.
@@ -137,15 +137,19 @@
     /// instance is news.
     async fn register(&self, req: &SyncRequest) -> Result<bool, ErrorObjectOwned> {
         let record = &req.record;
+        let mut changes = Vec::new();
         if self.handle.state.read().shared().hosts.get(&record.host) != Some(record) {
-            self.share_anywhere(Change::PutHost { record: record.clone() }).await?;
+            changes.push(Change::PutHost { record: record.clone() });
         }
-        let Some(instance) = &req.instance else { return Ok(false) };
-        if self.is_registered(&record.host, instance) {
-            return Ok(false);
+        let news = req.instance.as_ref().filter(|i| !self.is_registered(&record.host, i));
+        changes.extend(news.map(|instance| {
+            let host = record.host.clone();
+            Change::PutInstance { host, instance: instance.clone() }
+        }));
+        if !changes.is_empty() {
+            self.registrar.register(changes).await?;
         }
-        let host = record.host.clone();
-        self.share_anywhere(Change::PutInstance { host, instance: instance.clone() }).await?;
+        let Some(instance) = news else { return Ok(false) };
         // Another replica may have applied it, and this one not yet.
         let mut standing = self.handle.standing.clone();
         let applied = standing.wait_for(|_| self.is_registered(&record.host, instance));
@@ -216,25 +220,6 @@
         self.handle.admit(req.clone()).await
     }
 
-    async fn share_anywhere(&self, change: Change) -> Result<(), ErrorObjectOwned> {
-        self.wait_for_leader().await;
-        match self.handle.propose(Command::Share { change: change.clone() }).await {
-            Ok(_) => Ok(()),
-            Err(NoResult::NotLeader { leader: Some(leader) }) => {
-                let line = self.lines.get(&leader).ok_or_else(|| self.not_leader(None))?;
-                let client = line.client().await.ok_or_else(|| self.not_leader(None))?;
-                client.share(change).await.map_err(|e| rpc::unavailable(&e.to_string()))
-            }
-            Err(e) => Err(self.no_result(e)),
-        }
-    }
-
-    async fn wait_for_leader(&self) {
-        let mut standing = self.handle.standing.clone();
-        let known = standing.wait_for(|standing| standing.leader.is_some());
-        let _ = tokio::time::timeout(WAIT_FOR_LEADER, known).await;
-    }
-
     async fn wait_for_change(&self, held: Revision, until: Instant) {
         let mut released = self.released.clone();
         let changed = released.wait_for(|revision| *revision > held);
@@ -282,7 +267,7 @@
             }
         }
         if req.confirmed {
-            let confirmed = self.operators.confirm_read().await;
+            let confirmed = self.registrar.confirm_read().await;
             confirmed.map_err(|e| self.no_result(e))?;
             until = Instant::now();
         } else {
@@ -365,8 +350,8 @@
         self.operators.order_routes_here(order).await.map_err(|e| self.no_result(e))
     }
 
-    async fn share(&self, change: Change) -> RpcResult<()> {
-        let shared = self.handle.propose(Command::Share { change }).await;
+    async fn share(&self, changes: Vec<Change>) -> RpcResult<()> {
+        let shared = self.handle.propose(Command::ShareAll { changes }).await;
         shared.map(|_| ()).map_err(|e| self.no_result(e))
     }
 
--- a/crates/cherrystream-control/src/standby.rs
+++ b/crates/cherrystream-control/src/standby.rs
@@ -118,7 +118,7 @@
         Err(rpc::unavailable(NO_PLACE))
     }
 
-    async fn share(&self, _change: Change) -> RpcResult<()> {
+    async fn share(&self, _changes: Vec<Change>) -> RpcResult<()> {
         Err(rpc::unavailable(NO_PLACE))
     }
 
--- a/crates/cherrystream-core/src/raft/progress.rs
+++ b/crates/cherrystream-core/src/raft/progress.rs
@@ -70,7 +70,10 @@
 /// Estimates the size of an entry in a message.
 fn entry_bytes(entry: &Entry) -> usize {
     match &entry.command {
-        Command::ReplaceRoutes { packed, .. } => ENTRY_BYTES + packed.len(),
+        Command::ReplaceRoutes { packed, .. } | Command::PatchRoutes { packed, .. } => {
+            ENTRY_BYTES + packed.len()
+        }
+        Command::ShareAll { changes } => ENTRY_BYTES * changes.len().max(1),
         _ => ENTRY_BYTES,
     }
 }
--- a/crates/cherrystream-core/src/state.rs
+++ b/crates/cherrystream-core/src/state.rs
@@ -149,6 +149,9 @@
                 return Applied::Confirmed(self.confirm(plan, *at_ms, at));
             }
             Command::Share { change } => self.share(change, at),
+            Command::ShareAll { changes } => {
+                changes.iter().for_each(|change| self.share(change, at));
+            }
             Command::Claim { request, at_ms, expire_before_ms } => {
                 self.ledger.expire(*expire_before_ms);
                 return Applied::Claimed(self.ledger.claim(entry.index, *at_ms, request));
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -82,9 +82,9 @@
         packed: String,
     ) -> RpcResult<RouteOrderReply>;
 
-    /// Records a change of the shared state that no operator made.
+    /// Records changes of the shared state that no operator made.
     #[method(name = "share")]
-    async fn share(&self, change: Change) -> RpcResult<()>;
+    async fn share(&self, changes: Vec<Change>) -> RpcResult<()>;
 
     /// Takes a piece of a long message of the replicated log.
     #[method(name = "piece")]
