Requests that wait for one connection to a peer fail together

The last of eight waited 2 s for a dark host; one whose deadline passed meanwhile was told unknown, though nothing of it had been sent.

Change: those who waited for a connection that was not made fail with it; while a connection is being made a deadline that passes is proof that the request was not run.

--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -6,7 +6,7 @@
 use crate::held::Held;
 use crate::hop;
 use crate::inbound::{HELD_BYTES, InboundCall};
-use crate::peer::NoAnswer;
+use crate::peer::{Line, NoAnswer};
 use crate::peer_server::ClaimHeader;
 use crate::refusal::Refused;
 use crate::sync::Seen;
@@ -145,7 +145,8 @@
         self.set_peer_headers(req.headers_mut(), Op::Call, call, server, admitted);
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
-        let res = self.peers.send(&record.peer_address, req).await.map_err(|e| {
+        let line = self.line_to(call, &record.peer_address).await?;
+        let res = line.send(req).await.map_err(|e| {
             Refused::new(match e {
                 NoAnswer::NotSent => Reason::PeerUnreachable,
                 NoAnswer::Broke => Reason::PeerBroke,
@@ -154,6 +155,16 @@
         self.read_answer(call, server, &record.peer_address, res)
     }
 
+    /// Returns a connection to a peer. Nothing of the request is sent meanwhile, so a deadline that passes is proof that
+    /// it was not run.
+    async fn line_to(&self, call: &Call, address: &str) -> Result<Line, Refused> {
+        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
+        match tokio::time::timeout(remaining, self.peers.line(address)).await {
+            Ok(line) => line.ok_or(Refused::new(Reason::PeerUnreachable)),
+            Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
+        }
+    }
+
     /// Returns the time that the request may still wait for a slot.
     pub(super) fn wait_left(&self, call: &Call) -> Duration {
         let now = self.clock.now();
--- a/crates/cherrystream-daemon/src/peer.rs
+++ b/crates/cherrystream-daemon/src/peer.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::error::Error;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
@@ -52,17 +52,15 @@
         address: &str,
         req: Request<Body>,
     ) -> Result<Response<Body>, NoAnswer> {
+        let line = self.line(address).await.ok_or(NoAnswer::NotSent)?;
+        line.send(req).await
+    }
+
+    /// Returns a connection to the daemon at an address; nothing is sent of any request until it is used.
+    pub async fn line(&self, address: &str) -> Option<Line> {
         let peer = self.peer(address);
-        let mut sender = peer.sender(&self.metrics).await.ok_or(NoAnswer::NotSent)?;
-        match sender.try_send_request(req).await {
-            Ok(res) => Ok(res.map(body::incoming)),
-            Err(mut e) => {
-                let unsent = e.take_message().is_some();
-                let e = e.into_error();
-                peer.forget_if_closed().await;
-                Err(if unsent || never_begun(&e) { NoAnswer::NotSent } else { NoAnswer::Broke })
-            }
-        }
+        let sender = peer.sender(&self.metrics).await?;
+        Some(Line { peer, sender })
     }
 
     /// Drops the connections to addresses that are no longer in use.
@@ -79,6 +77,31 @@
     }
 }
 
+/// A connection to a peer.
+pub struct Line {
+    peer: Arc<Peer>,
+    sender: SendRequest<Body>,
+}
+
+impl Line {
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer comes, and tells whether the peer may work on the request.
+    pub async fn send(mut self, req: Request<Body>) -> Result<Response<Body>, NoAnswer> {
+        match self.sender.try_send_request(req).await {
+            Ok(res) => Ok(res.map(body::incoming)),
+            Err(mut e) => {
+                let unsent = e.take_message().is_some();
+                let e = e.into_error();
+                self.peer.forget_if_closed().await;
+                Err(if unsent || never_begun(&e) { NoAnswer::NotSent } else { NoAnswer::Broke })
+            }
+        }
+    }
+}
+
 /// Returns whether the peer said that it did not begin to work on the stream.
 fn never_begun(e: &hyper::Error) -> bool {
     let mut source = e.source();
@@ -95,12 +118,14 @@
 struct Peer {
     address: String,
     sender: RwLock<Option<SendRequest<Body>>>,
-    connecting: Mutex<()>,
+    /// Taken by the caller that connects; holds when the last one failed.
+    connecting: Mutex<Option<Instant>>,
 }
 
 impl Peer {
     fn new(address: &str) -> Peer {
-        Peer { address: address.into(), sender: RwLock::new(None), connecting: Mutex::new(()) }
+        let (sender, connecting) = (RwLock::new(None), Mutex::new(None));
+        Peer { address: address.into(), sender, connecting }
     }
 
     fn kept(&self) -> Option<SendRequest<Body>> {
@@ -111,12 +136,21 @@
         if let Some(sender) = self.kept() {
             return Some(sender);
         }
-        // One caller connects, the others wait for it.
-        let _guard = self.connecting.lock().await;
+        // One caller connects, the others wait for it, and fail with it: one after the other, they would wait for a host
+        // that is dark until their deadlines.
+        let asked = Instant::now();
+        let mut failed = self.connecting.lock().await;
         if let Some(sender) = self.kept() {
             return Some(sender);
         }
-        let sender = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.address)).await.ok()??;
+        if failed.is_some_and(|at| at >= asked) {
+            return None;
+        }
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.address)).await;
+        let Some(sender) = connected.ok().flatten() else {
+            *failed = Some(Instant::now());
+            return None;
+        };
         metrics.peer_connects.inc();
         *self.sender.write() = Some(sender.clone());
         Some(sender)
