A request that may not be repeated asks a peer for a slot first

Cause: a host that is frozen or dark takes a request into its connection and says nothing. What was sent there can be told only as unknown, after its deadline, and its caller may not send it again. A daemon of 300 meets each backend server once in half a minute, so it cannot know.

Hypothesis: a request that asks first, as long bodies do, is provably not run while the peer says nothing, and goes elsewhere after 200 ms beyond the time that it may wait there.

--- a/crates/cherrystream-daemon/src/outbound/reserving.rs
+++ b/crates/cherrystream-daemon/src/outbound/reserving.rs
@@ -1,8 +1,11 @@
-//! Asks for a slot before a long body is sent.
+//! Asks for a slot before a long body is sent, or a request that may not be repeated.
 //!
 //! Most offers are turned down under load. A body that goes with each of them fills the links between
 //! hosts, so a long one travels only to the backend server that has kept a slot for it. Until then nothing
 //! of the request has left this host, so every failure is proof that it did not run.
+//!
+//! So a request that may not be repeated asks first as well, where another host is to serve it: one that is dark or
+//! stands still says nothing, and a request that was sent there could be told only as unknown, and never tried again.
 
 use super::Outbound;
 use super::request::Call;
@@ -16,8 +19,19 @@
 use cherrystream_core::reservations::Reservation;
 use cherrystream_net::body;
 use http::Request;
+use std::time::Duration;
+
+/// Longest silence of the daemon beside a backend server, beyond the time that the request may wait there: twice the tenth
+/// of a second for which a host whose processor time is used up stands still.
+const SILENCE_AT_MOST: Duration = Duration::from_millis(200);
 
 impl Outbound {
+    /// Returns whether a request must be provably not run while its backend server's host says nothing.
+    pub(super) fn must_prove(&self, call: &Call, server: &ServerId) -> bool {
+        let routed_once = call.times.is_some() && !call.treatment.repeatable;
+        routed_once && *server.host != *self.host
+    }
+
     /// Asks the inbound beside a backend server to keep a slot for a call.
     ///
     /// # Errors
@@ -33,12 +47,26 @@
             return self.reserve_here(call, server).await;
         }
         let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        match tokio::time::timeout(remaining, self.reserve_there(call, held, server)).await {
+        let silence = self.longest_silence(call);
+        let asked = self.reserve_there(call, held, server);
+        match tokio::time::timeout(remaining.min(silence), asked).await {
             Ok(reserved) => reserved,
+            Err(_) if silence < remaining => Err(Refused::new(Reason::PeerUnreachable)),
             Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
         }
     }
 
+    /// Returns how long the answer of a daemon that is there may take. An offer that may be turned down is answered at
+    /// once; others wait for their turn, calls by running requests until their deadline.
+    fn longest_silence(&self, call: &Call) -> Duration {
+        let waits = match (call.is_selective(), call.times.is_some()) {
+            (true, _) => Duration::ZERO,
+            (false, true) => self.wait_left(call),
+            (false, false) => Duration::MAX,
+        };
+        waits.saturating_add(SILENCE_AT_MOST)
+    }
+
     async fn reserve_here(&self, call: &Call, server: &ServerId) -> Result<Reservation, Refused> {
         let req = Request::new(body::empty());
         let asked = self.inbound_call(call, server, Admitted::default(), req);
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -75,7 +75,8 @@
         let Some(remaining) = call.deadline.remaining(self.clock.now()) else {
             return Err(Refused::new(Reason::DeadlineBeforeStart));
         };
-        let reservation = match claimed.is_none() && call.body.asks_first() {
+        let asks_first = call.body.asks_first() || self.must_prove(call, server);
+        let reservation = match claimed.is_none() && asks_first {
             true => Some(self.reserve(call, held, server).await?),
             false => None,
         };
--- a/crates/cherrystream-daemon/tests/reserving.rs
+++ b/crates/cherrystream-daemon/tests/reserving.rs
@@ -1,4 +1,4 @@
-//! What a daemon sends to a peer for a request with a long body.
+//! What a daemon sends to a peer for a request with a long body, or one that may not be repeated.
 
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::reservations::Reservation;
@@ -36,9 +36,18 @@
     body_bytes: usize,
 }
 
-/// A peer that grants a slot to each call, or to none.
+/// What a peer does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Habit {
+    Grants,
+    Refuses,
+    /// It takes calls and says nothing, as one does that stands still.
+    SaysNothing,
+}
+
+/// A peer.
 struct Peer {
-    grants: bool,
+    habit: Habit,
     asked: Mutex<Vec<Asked>>,
 }
 
@@ -54,10 +63,12 @@
         let asked = Asked { op, reservation: head.reservation, body_bytes: bytes.len() };
         self.asked.lock().push(asked);
         let refused = Refused::new(Reason::BusyNow);
+        let grants = self.habit == Habit::Grants;
         match op {
-            Op::Reserve if self.grants => hop::write_reservation(head.call, Ok(SLOT), None),
+            _ if self.habit == Habit::SaysNothing => std::future::pending().await,
+            Op::Reserve if grants => hop::write_reservation(head.call, Ok(SLOT), None),
             Op::Reserve => hop::write_reservation(head.call, Err(refused), None),
-            _ if self.grants => {
+            _ if grants => {
                 hop::write_answer(head.call, Ok(Response::new(body::full("done"))), None)
             }
             _ => hop::write_answer(head.call, Err(refused), None),
@@ -66,10 +77,10 @@
 }
 
 /// Starts a peer on a free port; returns its address with it.
-async fn start_peer(grants: bool) -> (Arc<Peer>, String) {
+async fn start_peer(habit: Habit) -> (Arc<Peer>, String) {
     let listener = serve::listen("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let peer = Arc::new(Peer { grants, asked: Mutex::default() });
+    let peer = Arc::new(Peer { habit, asked: Mutex::default() });
     let handler = peer.clone();
     tokio::spawn(serve::serve(listener, Phases::default(), move |req| handler.clone().answer(req)));
     (peer, address)
@@ -77,6 +88,11 @@
 
 /// Returns a state in which the only instance of a service is beside the peer.
 fn state(peer_address: &str) -> Shared {
+    state_with(peer_address, false)
+}
+
+/// As [`state`], with a route whose requests may be repeated or not.
+fn state_with(peer_address: &str, repeatable: bool) -> Shared {
     let mut state = shared::empty();
     let host = |name: &str, address: &str| HostRecord {
         host: name.into(),
@@ -99,7 +115,7 @@
     let route = Route {
         host: "a.example".into(),
         path_prefix: "/".into(),
-        repeatable: false,
+        repeatable,
         timeout_us: 2_000_000,
         target_us: 1_000_000,
         priority: 1,
@@ -169,7 +185,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_long_body_does_not_travel_with_an_offer_that_is_turned_down() {
-    let (peer, address) = start_peer(false).await;
+    let (peer, address) = start_peer(Habit::Refuses).await;
     let (_daemon, callers) = start_daemon(state(&address)).await;
     assert_eq!(ask_in_force(&callers, &LONG_BODY.repeat(128)).await, 503);
     let asked = peer.asked.lock().clone();
@@ -179,7 +195,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_long_body_travels_once_to_the_slot_that_is_kept_for_it() {
-    let (peer, address) = start_peer(true).await;
+    let (peer, address) = start_peer(Habit::Grants).await;
     let (_daemon, callers) = start_daemon(state(&address)).await;
     assert_eq!(ask_in_force(&callers, &LONG_BODY.repeat(128)).await, 200);
     let reserve = Asked { op: Op::Reserve, reservation: None, body_bytes: 0 };
@@ -190,7 +206,7 @@
 /// A body that comes from the caller's connection can be sent once only: an offer must not use it up.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_is_not_held_is_offered_too() {
-    let (peer, address) = start_peer(true).await;
+    let (peer, address) = start_peer(Habit::Grants).await;
     let (_daemon, callers) = start_daemon(state(&address)).await;
     let repeats = 4 * 1_024;
     assert_eq!(ask_in_force(&callers, &LONG_BODY.repeat(repeats)).await, 200);
@@ -200,10 +216,34 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_short_body_travels_with_the_offer() {
-    let (peer, address) = start_peer(true).await;
-    let (_daemon, callers) = start_daemon(state(&address)).await;
+async fn a_short_body_of_a_repeatable_request_travels_with_the_offer() {
+    let (peer, address) = start_peer(Habit::Grants).await;
+    let (_daemon, callers) = start_daemon(state_with(&address, true)).await;
     assert_eq!(ask_in_force(&callers, LONG_BODY).await, 200);
     let asked = Asked { op: Op::Call, reservation: None, body_bytes: 32 };
     assert_eq!(*peer.asked.lock(), [asked]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_not_be_repeated_asks_first_whatever_its_length() {
+    let (peer, address) = start_peer(Habit::Grants).await;
+    let (_daemon, callers) = start_daemon(state(&address)).await;
+    assert_eq!(ask_in_force(&callers, LONG_BODY).await, 200);
+    let reserve = Asked { op: Op::Reserve, reservation: None, body_bytes: 0 };
+    let call = Asked { op: Op::Call, reservation: Some(SLOT), body_bytes: 32 };
+    assert_eq!(*peer.asked.lock(), [reserve, call]);
+}
+
+/// Load: a host that stands still. Its caller may send the request again, for it is told that it was not run; before, it was
+/// told after the 2 s of the route that nobody knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_that_says_nothing_has_not_run_a_request_that_may_not_be_repeated() {
+    let (peer, address) = start_peer(Habit::SaysNothing).await;
+    let (_daemon, callers) = start_daemon(state(&address)).await;
+    let started = std::time::Instant::now();
+    assert_eq!(ask_in_force(&callers, LONG_BODY).await, 503);
+    let took = started.elapsed();
+    assert!(took < Duration::from_millis(1_500), "told after {took:?}");
+    let asked = peer.asked.lock().clone();
+    assert!(asked.iter().all(|a| a.op == Op::Reserve), "{asked:?}");
+}
