A host that replaces a lost one waits for no other failure domain

Test: raft_joining::one_that_replaces_a_lost_host_waits_for_no_other_failure_domain (NotNow before).

--- a/crates/cherrystream-core/src/raft/spread.rs
+++ b/crates/cherrystream-core/src/raft/spread.rs
@@ -64,16 +64,17 @@
     }
 
     /// Returns whether a place may go to a newcomer now: no failure domain that asks holds fewer, and others had time
-    /// to ask.
+    /// to ask. One that comes in the place of another waits for nobody, for its group lacks a replica until then, and those
+    /// that stand by are kept from that place for longer.
     pub(super) fn suits(&self, now: Timestamp, place: u64, newcomer: Newcomer<'_>) -> bool {
         let Role::Leader(leading) = &self.role else { return false };
         let held = self.places_by_domain(now, place);
         let count = |domain: &str| held.get(domain).copied().unwrap_or(0);
         let own = count(newcomer.failure_domain);
-        if own == 0 || newcomer.failure_domain.is_empty() {
+        if own == 0 || newcomer.failure_domain.is_empty() || !newcomer.stands_by {
             return true;
         }
-        let waited = leading.askers.waited(now, newcomer.disk) >= PATIENCE || !newcomer.stands_by;
+        let waited = leading.askers.waited(now, newcomer.disk) >= PATIENCE;
         let mut others = leading.askers.other_domains(now, newcomer.disk);
         waited && !others.any(|domain| count(domain) < own)
     }
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -332,3 +332,23 @@
     let place = Admission::Granted(gone as u64 + 1);
     assert_eq!(stand_by(&mut world, &near, 11, &lost), place);
 }
+
+/// A host that replaces a lost one must not wait until one that stands by elsewhere may have the place.
+#[test]
+fn one_that_replaces_a_lost_host_waits_for_no_other_failure_domain() {
+    let (mut world, gone, disk) = with_one_gone();
+    run(&mut world, 40);
+    let standing_by = world.new_disk();
+    assert_eq!(stand_by(&mut world, &standing_by, 11, "elsewhere"), Admission::NotNow, "too early");
+    let i = leader(&world);
+    let (now, failure_domain) = (world.now, failure_domain(i));
+    let newcomer = Newcomer {
+        address: NEW_ADDRESS,
+        disk: &disk.id,
+        failure_domain: &failure_domain,
+        stands_by: false,
+        runs_as: None,
+    };
+    let granted = world.replicas[i].raft.as_mut().unwrap().admit(now, newcomer);
+    assert_eq!(granted, Admission::Granted(gone as u64 + 1));
+}
