--- a/crates/cherrystream-daemon/tests/reserving.rs
+++ b/crates/cherrystream-daemon/tests/reserving.rs
@@ -234,8 +234,8 @@
     assert_eq!(*peer.asked.lock(), [reserve, call]);
 }
 
-/// Load: a host that stands still. Its caller may send the request again, for it is told that it was not run; before, it was
-/// told after the 2 s of the route that nobody knows.
+/// Load: a host that stands still. The caller may send its request again, for it is told that it was not run, and long before
+/// the 2 s of the route are over.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_peer_that_says_nothing_has_not_run_a_request_that_may_not_be_repeated() {
     let (peer, address) = start_peer(Habit::SaysNothing).await;
