--- a/crates/cherrystream-bench/src/tables.rs
+++ b/crates/cherrystream-bench/src/tables.rs
@@ -102,8 +102,11 @@
 }
 
 fn empty() -> RouteTable {
-    let service =
-        || RoutedService { connections_at_most: 100, health_path: "/healthz".to_string() };
+    let service = || RoutedService {
+        connections_at_most: 100,
+        health_path: "/healthz".to_string(),
+        cold_milli_per_s: None,
+    };
     RouteTable {
         limits: RequestLimits {
             body_bytes: 1 << 20,
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -286,6 +286,11 @@
     let mut all: Vec<String> = replicas.iter().filter_map(replica).collect();
     all.extend(daemons.iter().filter_map(daemon));
     all.extend(services_without_servers(shared));
+    all.extend(shared.config.failure_domains_out.iter().map(|domain| {
+        format!(
+            "failure domain {domain} is evacuated: `evacuate end {domain}` sends work there again"
+        )
+    }));
     all
 }
 
--- a/crates/cherrystream-control/src/orders.rs
+++ b/crates/cherrystream-control/src/orders.rs
@@ -2,9 +2,12 @@
 
 use crate::metrics::Metrics;
 use crate::operators::Operators;
+use crate::registrar::Registrar;
+use cherrystream_core::plan;
 use cherrystream_core::routes;
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::interface::{Fault, Order, OrderAnswer, OrderInterface};
+use cherrystream_schema::messages::{Change, Intent};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -17,6 +20,8 @@
 pub struct Orders {
     /// Carries them to the leader.
     pub operators: Operators,
+    /// Has the leader record intents.
+    pub registrar: Registrar,
     /// The interface that they come in.
     pub interface: Arc<dyn OrderInterface>,
     /// Metrics.
@@ -48,6 +53,7 @@
     async fn carry_out(&self, order: Order) -> OrderAnswer {
         match order {
             Order::ReadRoutes => self.operators.read_routes().await,
+            Order::Intend(intent) => self.intend(intent).await,
             Order::ReplaceRoutes(order) => match routes::validate(&order.table) {
                 Ok(()) => self.operators.replace_routes(&order).await,
                 Err(e) => OrderAnswer::Invalid(Fault { what: e.what, remedy: e.remedy }),
@@ -55,10 +61,26 @@
         }
     }
 
+    /// Carries an intent out, and returns once it is committed: it then outlasts what the log outlasts, and daemons
+    /// are told.
+    async fn intend(&self, intent: Intent) -> OrderAnswer {
+        let what = plan::describe(&intent);
+        match self.registrar.register(vec![Change::Operator { intent }]).await {
+            Ok(()) => {
+                log::info!("orders: {what} holds");
+                OrderAnswer::Intended
+            }
+            Err(e) => {
+                log::warn!("orders: {what} has no outcome: {}", e.message());
+                OrderAnswer::Unavailable
+            }
+        }
+    }
+
     fn note(&self, answer: &OrderAnswer) {
         match answer {
             OrderAnswer::Held(number) => log::info!("orders: route table {number} holds"),
-            OrderAnswer::Table(_) => {}
+            OrderAnswer::Table(_) | OrderAnswer::Intended => {}
             OrderAnswer::NoTable => self.metrics.refuse("no-table"),
             OrderAnswer::Unavailable => self.metrics.refuse("no-quorum"),
             OrderAnswer::Invalid(fault) => {
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -105,9 +105,11 @@
             failure_domain: (!place.fixed).then(|| cx.failure_domain.clone()),
             metrics: cx.metrics.clone(),
         };
+        let registrar = rpc.registrar.clone();
         let rpc = rpc.serve(&settings.rpc_address, cx.key).await?;
         let orders = cx.orders.map(|interface| Orders {
             operators: operators.clone(),
+            registrar,
             interface,
             metrics: cx.metrics.clone(),
         });
--- a/crates/cherrystream-control/tests/support/mod.rs
+++ b/crates/cherrystream-control/tests/support/mod.rs
@@ -22,7 +22,11 @@
         head_timeout_us: 3_000_000,
         idle_timeout_us: 15_000_000,
     };
-    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
+    let service = RoutedService {
+        health_path: "/health".into(),
+        connections_at_most: 100,
+        cold_milli_per_s: None,
+    };
     let table = RouteTable {
         number,
         routes: (0..routes).map(|i| (format!("r{number}-{i}"), route(i))).collect(),
--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -4,10 +4,12 @@
 
 pub use request::{Action, Arrival, Options, Rank, Refusal, Ticket, Verdict};
 
+use crate::cold_pace::{ColdLimits, ColdPace};
 use crate::pace::Pace;
 use crate::reasons::Reason;
 use crate::reserve::Reserve;
 use crate::units::{Timestamp, micros};
+use crate::warmth::Warmth;
 use cherrystream_schema::messages::ServerState;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -31,6 +33,8 @@
 struct Running {
     since: Timestamp,
     called: bool,
+    /// Whether it has left for the backend server.
+    sent: bool,
 }
 
 /// The door to one backend server.
@@ -44,6 +48,8 @@
     waiting: BTreeMap<Place, Timestamp>,
     latency: Duration,
     pace: Pace,
+    warmth: Warmth,
+    cold_pace: ColdPace,
     next_ticket: u64,
     sequence: u64,
 }
@@ -60,6 +66,8 @@
             waiting: BTreeMap::new(),
             latency: Duration::from_millis(5),
             pace: Pace::default(),
+            warmth: Warmth::default(),
+            cold_pace: ColdPace::default(),
             next_ticket: 0,
             sequence: 0,
         }
@@ -70,6 +78,11 @@
         self.opts = opts;
     }
 
+    /// Changes what the backend server takes while it is cold.
+    pub fn set_cold(&mut self, cold: Option<ColdLimits>) {
+        self.opts.cold = cold;
+    }
+
     /// Decides on a request.
     pub fn arrive(&mut self, now: Timestamp, arrival: Arrival) -> (Verdict, Vec<Action>) {
         let mut actions = Vec::new();
@@ -80,7 +93,10 @@
             return (Verdict::Refuse(self.refusal(Reason::DeadlineBeforeStart)), actions);
         };
         if arrival.selective && self.is_busy(now, &arrival) {
-            return (Verdict::Refuse(self.refusal(Reason::BusyNow)), actions);
+            let refusal = self.refusal(Reason::BusyNow);
+            let cold_wait = self.cold_wait(now, arrival.rank(now));
+            let retry_after = refusal.retry_after.max(cold_wait.unwrap_or_default());
+            return (Verdict::Refuse(Refusal { retry_after, ..refusal }), actions);
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
@@ -90,6 +106,9 @@
             self.start(now, ticket, rank.called);
             return (Verdict::Run(ticket), actions);
         }
+        if let Some(refusal) = self.cold_refusal(now, &arrival, rank, remaining) {
+            return (Verdict::Refuse(refusal), actions);
+        }
         // A call's parent is wasted without it, so it waits whatever the odds.
         if !rank.called && self.expected_wait(rank) > remaining {
             return (Verdict::Refuse(self.refusal(Reason::QueueTooLong)), actions);
@@ -134,6 +153,63 @@
         self.pace.wants_word(now)
     }
 
+    /// Returns what is known of the warmth of the backend server.
+    pub fn warmth(&mut self) -> &mut Warmth {
+        &mut self.warmth
+    }
+
+    /// Returns whether the backend server is given no more than a cold one takes.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.cold_limits(now).is_some()
+    }
+
+    /// Returns whether the health endpoint should be asked how warm the backend server is.
+    pub fn wants_warmth(&mut self, now: Timestamp) -> bool {
+        self.opts.cold.is_some() && self.warmth.asks(now)
+    }
+
+    /// Notes that a request that was let in leaves for the backend server.
+    pub fn on_sent(&mut self, now: Timestamp, ticket: Ticket) {
+        if let Some(running) = self.running.get_mut(&ticket)
+            && !running.sent
+        {
+            running.sent = true;
+            self.cold_pace.on_sent(now);
+        }
+    }
+
+    fn cold_limits(&self, now: Timestamp) -> Option<ColdLimits> {
+        self.opts.cold.filter(|_| self.warmth.is_cold(now))
+    }
+
+    fn has_cold_room(&mut self, now: Timestamp) -> bool {
+        let Some(limits) = self.cold_limits(now) else { return true };
+        let under_way = self.running.values().filter(|running| !running.sent).count();
+        self.cold_pace.has_room(now, &limits, under_way)
+    }
+
+    /// Returns the time until a request of a rank has its turn at a cold backend server.
+    fn cold_wait(&mut self, now: Timestamp, rank: Rank) -> Option<Duration> {
+        let limits = self.cold_limits(now)?;
+        let ahead = self.waiting.keys().filter(|place| place.rank.0 >= rank).count();
+        Some(self.cold_pace.wait(now, &limits, ahead))
+    }
+
+    /// Refuses at once what a cold backend server cannot serve in time: a request within the time that it may wait,
+    /// and a call while it is of use to the request that waits for it.
+    fn cold_refusal(
+        &mut self,
+        now: Timestamp,
+        arrival: &Arrival,
+        rank: Rank,
+        remaining: Duration,
+    ) -> Option<Refusal> {
+        let wait = self.cold_wait(now, rank)?;
+        let good_for = arrival.good_until.map_or(remaining, |until| until.since(now));
+        let patience = if rank.called { good_for.min(remaining) } else { remaining };
+        (wait > patience).then_some(Refusal { reason: Reason::ServerCold, retry_after: wait })
+    }
+
     /// Returns the slowness of the backend server, in hundredths of the usual time.
     pub fn slowness(&self, now: Timestamp) -> u32 {
         self.pace.slowness(now)
@@ -248,6 +324,9 @@
 
     /// Returns whether there is a slot for a request, which may be a call by a running one.
     fn has_slot(&mut self, now: Timestamp, called: bool) -> bool {
+        if !self.has_cold_room(now) {
+            return false;
+        }
         let slots = self.slots_now(now);
         if called {
             return self.running.len() < slots as usize;
@@ -275,7 +354,10 @@
     }
 
     fn start(&mut self, now: Timestamp, ticket: Ticket, called: bool) {
-        self.running.insert(ticket, Running { since: now, called });
+        if self.is_cold(now) {
+            self.cold_pace.on_let_in();
+        }
+        self.running.insert(ticket, Running { since: now, called, sent: false });
     }
 
     /// Returns the time until a request of this rank has its turn.
--- a/crates/cherrystream-core/src/admission/request.rs
+++ b/crates/cherrystream-core/src/admission/request.rs
@@ -1,5 +1,6 @@
 //! What a door is asked, and what it decides.
 
+use crate::cold_pace::ColdLimits;
 use crate::reasons::Reason;
 use crate::units::Timestamp;
 use std::time::Duration;
@@ -19,11 +20,13 @@
     pub ramp: Duration,
     /// Share of the slots that are used: some backend servers slow down when nearly full.
     pub share: f64,
+    /// What the backend server takes while it is cold, where that is known to matter.
+    pub cold: Option<ColdLimits>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { slots: 1, queue: 1, ramp: Duration::ZERO, share: 1.0 }
+        Options { slots: 1, queue: 1, ramp: Duration::ZERO, share: 1.0, cold: None }
     }
 }
 
--- a/crates/cherrystream-core/src/plan.rs
+++ b/crates/cherrystream-core/src/plan.rs
@@ -42,6 +42,8 @@
     let verb = match intent {
         Intent::TakeOutHost { .. } => "take out",
         Intent::ReturnHost { .. } => "return",
+        Intent::Evacuate { .. } => "evacuate",
+        Intent::EndEvacuation { .. } => "end the evacuation of",
         Intent::DeleteService { .. }
         | Intent::DeleteKind { .. }
         | Intent::DeleteBackendServer { .. } => "delete",
@@ -61,6 +63,9 @@
             ("backend server", name)
         }
         Intent::TakeOutHost { host } | Intent::ReturnHost { host } => ("host", host),
+        Intent::Evacuate { failure_domain } | Intent::EndEvacuation { failure_domain } => {
+            ("failure domain", failure_domain)
+        }
     }
 }
 
@@ -89,6 +94,14 @@
             }
             errors::missing("host taken out", host, "list those taken out with `config`")
         }
+        Intent::Evacuate { failure_domain } => find_failure_domain(shared, failure_domain),
+        Intent::EndEvacuation { failure_domain } => {
+            if config.failure_domains_out.contains(failure_domain) {
+                return Ok(());
+            }
+            let remedy = "list those that are evacuated with `evacuate list`";
+            errors::missing("evacuated failure domain", failure_domain, remedy)
+        }
         Intent::DeleteService { service } => find_service(config, service).map(|_| ()),
         Intent::DeleteKind { service, kind } => {
             if find_service(config, service)?.kinds.contains_key(kind) {
@@ -120,6 +133,17 @@
     errors::missing("host", host, "list the hosts with `status`")
 }
 
+fn find_failure_domain(shared: &Shared, name: &str) -> Result<()> {
+    if shared.hosts.values().any(|record| record.failure_domain == name) {
+        return Ok(());
+    }
+    errors::missing(
+        "failure domain",
+        name,
+        "list the hosts and their failure domains with `status`",
+    )
+}
+
 fn check_name(field: &'static str, name: &str) -> Result<()> {
     let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
     if !name.is_empty() && name.len() <= NAME_BYTES && name.chars().all(fits) {
@@ -186,6 +210,10 @@
         }
         Intent::TakeOutHost { host } => take_out_steps(shared, host),
         Intent::ReturnHost { host } => vec![format!("send work to host '{host}' again")],
+        Intent::Evacuate { failure_domain } => evacuation_steps(shared, failure_domain),
+        Intent::EndEvacuation { failure_domain } => {
+            vec![format!("send work to the hosts of failure domain '{failure_domain}' again")]
+        }
         _ => vec![describe(intent)],
     }
 }
@@ -217,6 +245,15 @@
     steps
 }
 
+fn evacuation_steps(shared: &Shared, failure_domain: &str) -> Vec<String> {
+    let is_there = |record: &&messages::HostRecord| record.failure_domain == failure_domain;
+    let hosts = shared.hosts.values().filter(is_there).count();
+    vec![
+        format!("send no new work to the {hosts} hosts of failure domain '{failure_domain}'"),
+        "let their backend servers finish what they run".into(),
+    ]
+}
+
 fn warnings(before: &Shared, after: &Shared, intent: &Intent) -> Vec<String> {
     let mut warnings = Vec::new();
     for (name, entry) in &before.config.services {
--- a/crates/cherrystream-core/src/reasons.rs
+++ b/crates/cherrystream-core/src/reasons.rs
@@ -97,6 +97,8 @@
     QueueTooLong = "queue-too-long", NotRun, 503, true;
     /// The backend server is slow or nearly full at this moment, and others were not asked yet.
     BusyNow = "busy-now", NotRun, 503, true;
+    /// The backend server is cold, and takes no more for now.
+    ServerCold = "server-cold", NotRun, 503, true;
     /// Requests of more weight took the place in the queue.
     ShedByWeight = "shed-by-weight", NotRun, 503, true;
     /// The backend server is leaving.
--- a/crates/cherrystream-core/src/settings.rs
+++ b/crates/cherrystream-core/src/settings.rs
@@ -147,6 +147,14 @@
             let what = format!("slot_share is {}", daemon.slot_share);
             return self.fail("slot_share", &what, "use a share from 0.1 to 1");
         }
+        if !(1.0..=100.0).contains(&daemon.cold_over) {
+            let what = format!("cold_over is {}", daemon.cold_over);
+            return self.fail("cold_over", &what, "use a factor from 1 to 100");
+        }
+        if !(0.0..=10_000.0).contains(&daemon.cold_slack) {
+            let what = format!("cold_slack is {}", daemon.cold_slack);
+            return self.fail("cold_slack", &what, "use 0 to 10000 requests");
+        }
         if !(0.0..=10_000.0).contains(&daemon.crossing_cost_ms) {
             let what = format!("crossing_cost_ms is {}", daemon.crossing_cost_ms);
             return self.fail("crossing_cost_ms", &what, "use 0 to 10000 milliseconds");
--- a/crates/cherrystream-core/src/shared.rs
+++ b/crates/cherrystream-core/src/shared.rs
@@ -91,6 +91,12 @@
         }
         Intent::TakeOutHost { host } => insert_sorted(&mut config.hosts_out, host),
         Intent::ReturnHost { host } => config.hosts_out.retain(|h| h != host),
+        Intent::Evacuate { failure_domain } => {
+            insert_sorted(&mut config.failure_domains_out, failure_domain);
+        }
+        Intent::EndEvacuation { failure_domain } => {
+            config.failure_domains_out.retain(|domain| domain != failure_domain);
+        }
         Intent::DeleteService { service } => {
             config.services.remove(service);
         }
@@ -121,9 +127,9 @@
     }
 }
 
-fn insert_sorted(hosts: &mut Vec<String>, host: &str) {
-    if let Err(i) = hosts.binary_search_by(|h| h.as_str().cmp(host)) {
-        hosts.insert(i, host.into());
+fn insert_sorted(names: &mut Vec<String>, name: &str) {
+    if let Err(i) = names.binary_search_by(|n| n.as_str().cmp(name)) {
+        names.insert(i, name.into());
     }
 }
 
@@ -146,4 +152,11 @@
 pub fn is_out(shared: &Shared, host: &str) -> bool {
     shared.config.hosts_out.iter().chain(&shared.leaving).any(|h| h == host)
         || shared.hosts.get(host).is_some_and(|record| record.leaving)
+        || is_evacuated(shared, host)
+}
+
+/// Returns whether operators have evacuated the failure domain of a host.
+pub fn is_evacuated(shared: &Shared, host: &str) -> bool {
+    let domain = shared.hosts.get(host).map(|record| &record.failure_domain);
+    domain.is_some_and(|domain| shared.config.failure_domains_out.contains(domain))
 }
--- a/crates/cherrystream-core/src/state.rs
+++ b/crates/cherrystream-core/src/state.rs
@@ -289,7 +289,17 @@
     }
 
     fn share(&mut self, change: &Change, at: Revision) {
-        shared::apply(&mut self.shared, change);
+        if let Change::Operator { .. } = change {
+            let before = self.shared.config.clone();
+            shared::apply(&mut self.shared, change);
+            // An order that comes again changes nothing, and leaves plans as they are.
+            if self.shared.config == before {
+                return;
+            }
+            self.config_revision = at;
+        } else {
+            shared::apply(&mut self.shared, change);
+        }
         self.revision = at;
         self.changes.push_back(NumberedChange { revision: at, change: change.clone() });
         self.drop_old_changes();
--- a/crates/cherrystream-core/tests/decisions.rs
+++ b/crates/cherrystream-core/tests/decisions.rs
@@ -16,7 +16,13 @@
 
 #[test]
 fn admission_session() {
-    let opts = admission::Options { slots: 2, queue: 2, ramp: Duration::from_secs(2), share: 1.0 };
+    let opts = admission::Options {
+        slots: 2,
+        queue: 2,
+        ramp: Duration::from_secs(2),
+        share: 1.0,
+        cold: None,
+    };
     let mut door = Admission::new(opts);
     let mut s = Session::default();
     let arrival = |weight, deadline| Arrival {
--- /dev/null
+++ b/crates/cherrystream-core/tests/evacuations.rs
@@ -0,0 +1,121 @@
+//! Evacuations: an operators' order that the replicated state holds beside the hosts taken out.
+
+use arbtest::arbtest;
+use cherrystream_core::plan;
+use cherrystream_core::shared;
+use cherrystream_core::state::ControlState;
+use cherrystream_schema::messages::{Change, Command, Entry, HostRecord, Intent};
+use std::collections::BTreeSet;
+
+#[derive(Default)]
+struct Log {
+    state: ControlState,
+    index: u64,
+}
+
+impl Log {
+    fn share(&mut self, change: Change) {
+        self.index += 1;
+        let command = Command::ShareAll { changes: vec![change] };
+        self.state.apply(&Entry { term: 1, index: self.index, command });
+    }
+
+    fn register(&mut self, host: &str, failure_domain: &str) {
+        let record = HostRecord {
+            host: host.into(),
+            failure_domain: failure_domain.into(),
+            region: "r".into(),
+            peer_address: format!("{host}:1"),
+            incarnation: 1,
+            leaving: false,
+        };
+        self.share(Change::PutHost { record });
+    }
+
+    fn order(&mut self, intent: Intent) {
+        self.share(Change::Operator { intent });
+    }
+
+    fn is_out(&self, host: &str) -> bool {
+        shared::is_out(self.state.shared(), host)
+    }
+}
+
+fn start(domain: &str) -> Intent {
+    Intent::Evacuate { failure_domain: domain.into() }
+}
+
+fn end(domain: &str) -> Intent {
+    Intent::EndEvacuation { failure_domain: domain.into() }
+}
+
+#[test]
+fn an_order_that_comes_again_changes_nothing() {
+    let mut log = Log::default();
+    log.register("a1", "a");
+    log.order(start("a"));
+    let (revision, plans_from) = (log.state.revision(), log.state.config_revision());
+    assert_eq!(revision, plans_from, "a plan made before conflicts");
+    log.order(start("a"));
+    log.order(end("b"));
+    assert_eq!((log.state.revision(), log.state.config_revision()), (revision, plans_from));
+}
+
+#[test]
+fn a_host_that_registers_during_an_evacuation_gets_no_work() {
+    let mut log = Log::default();
+    log.order(start("a"));
+    log.register("a1", "a");
+    assert!(log.is_out("a1"));
+    log.order(end("a"));
+    assert!(!log.is_out("a1"));
+}
+
+#[test]
+fn a_plan_tells_what_is_left_and_refuses_an_unknown_failure_domain() {
+    let mut log = Log::default();
+    log.register("a1", "a");
+    let outline = plan::outline(log.state.shared(), &start("a")).unwrap();
+    assert_eq!(outline.steps[0], "send no new work to the 1 hosts of failure domain 'a'");
+    assert!(plan::outline(log.state.shared(), &start("nowhere")).is_err());
+    assert!(plan::outline(log.state.shared(), &end("a")).is_err(), "it is not evacuated");
+}
+
+/// Orders of several operators cross, hosts come and go, and replicas start from snapshots: what was ordered last for
+/// a failure domain holds for each of its hosts.
+#[test]
+fn the_last_order_for_a_failure_domain_holds_whatever_crosses_it() {
+    arbtest(|u| {
+        let domains = ["a", "b", "c"];
+        let mut log = Log::default();
+        let mut out = BTreeSet::new();
+        while !u.is_empty() {
+            let domain = *u.choose(&domains)?;
+            match u.int_in_range(0..=4)? {
+                0 => {
+                    log.order(start(domain));
+                    out.insert(domain);
+                }
+                1 => {
+                    log.order(end(domain));
+                    out.remove(domain);
+                }
+                2 => log.register(&format!("{domain}{}", u.int_in_range(0..=2)?), domain),
+                3 => {
+                    let host = format!("{domain}{}", u.int_in_range(0..=2)?);
+                    log.share(Change::RemoveHost { host });
+                }
+                _ => {
+                    let snapshot = serde_json::to_string(&log.state).unwrap();
+                    log.state = serde_json::from_str(&snapshot).unwrap();
+                }
+            }
+            for host in log.state.shared().hosts.values() {
+                let wanted = out.contains(host.failure_domain.as_str());
+                assert_eq!(log.is_out(&host.host), wanted, "{}", host.host);
+            }
+        }
+        Ok(())
+    })
+    .budget_ms(1_000);
+}
--- a/crates/cherrystream-core/tests/overload.rs
+++ b/crates/cherrystream-core/tests/overload.rs
@@ -15,7 +15,13 @@
 }
 
 fn door(slots: u32) -> Admission {
-    Admission::new(admission::Options { slots, queue: 8, ramp: Duration::ZERO, share: 0.8 })
+    Admission::new(admission::Options {
+        slots,
+        queue: 8,
+        ramp: Duration::ZERO,
+        share: 0.8,
+        cold: None,
+    })
 }
 
 fn arrival(weight: u32, selective: bool) -> Arrival {
--- a/crates/cherrystream-core/tests/route_patches.rs
+++ b/crates/cherrystream-core/tests/route_patches.rs
@@ -22,7 +22,11 @@
 }
 
 fn order(number: u64, paths: &[u64]) -> RouteOrder {
-    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
+    let service = RoutedService {
+        health_path: "/health".into(),
+        connections_at_most: 100,
+        cold_milli_per_s: None,
+    };
     let table = RouteTable {
         number,
         routes: paths.iter().map(|path| (format!("r{path}"), route(*path))).collect(),
--- a/crates/cherrystream-core/tests/routes.rs
+++ b/crates/cherrystream-core/tests/routes.rs
@@ -37,7 +37,11 @@
 }
 
 fn table(number: u64, routes: &[(&str, Route)]) -> RouteTable {
-    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
+    let service = RoutedService {
+        health_path: "/health".into(),
+        connections_at_most: 100,
+        cold_milli_per_s: None,
+    };
     RouteTable {
         number,
         routes: routes.iter().map(|(name, route)| (name.to_string(), route.clone())).collect(),
--- a/crates/cherrystream-daemon/src/door.rs
+++ b/crates/cherrystream-daemon/src/door.rs
@@ -2,17 +2,19 @@
 
 use cherrystream_core::admission::{self, Action, Admission, Arrival, Refusal, Ticket, Verdict};
 use cherrystream_core::callers::Callers;
+use cherrystream_core::cold_pace::ColdLimits;
 use cherrystream_core::measuring::{Check, Health, MeasuringBudget};
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::units::Timestamp;
 use cherrystream_core::usual_times::UsualTimes;
 use cherrystream_net::clock::Clock;
-use cherrystream_net::interface::ServerLoad;
+use cherrystream_net::interface::{HealthWord, ServerLoad};
 use cherrystream_net::pool::Pool;
 use cherrystream_schema::messages::{Report, ServerState};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 type Waiter = oneshot::Sender<Result<Permit, Refusal>>;
@@ -79,6 +81,11 @@
         self.budget.lock().set(measuring_per_second);
     }
 
+    /// Changes what the backend server takes while it is cold.
+    pub fn set_cold(&self, cold: Option<ColdLimits>) {
+        self.inner.lock().admission.set_cold(cold);
+    }
+
     /// Waits until a request of a kind is let in.
     ///
     /// # Errors
@@ -186,6 +193,39 @@
         self.inner.lock().admission.on_pace(self.clock.now(), load.slowness);
     }
 
+    /// Takes the word of a report on the warmth of the backend server.
+    pub fn on_reported_warmth(&self, sequence: u64, cold_for: Duration) {
+        let mut inner = self.inner.lock();
+        inner.admission.warmth().on_report(self.clock.now(), sequence, cold_for);
+    }
+
+    /// Takes an answer of the health endpoint. One of another instance says nothing of this one.
+    pub fn on_health(&self, word: &HealthWord) {
+        let is_other = word.instance.as_ref().is_some_and(|name| **name != *self.id.name);
+        if let Some(cold_for) = word.cold_for.filter(|_| !is_other) {
+            self.inner.lock().admission.warmth().on_answer(self.clock.now(), cold_for);
+        }
+    }
+
+    /// Forgets what was heard of the warmth of the backend server.
+    pub fn doubt_warmth(&self) {
+        self.inner.lock().admission.warmth().doubt();
+    }
+
+    /// Returns whether the backend server is given no more than a cold one takes.
+    pub fn is_cold(&self) -> bool {
+        self.inner.lock().admission.is_cold(self.clock.now())
+    }
+
+    /// Returns whether the backend server should be asked how warm it is.
+    pub fn wants_warmth(&self) -> bool {
+        self.inner.lock().admission.wants_warmth(self.clock.now())
+    }
+
+    fn on_sent(&self, ticket: Ticket) {
+        self.inner.lock().admission.on_sent(self.clock.now(), ticket);
+    }
+
     /// Returns whether the backend server should be asked for its load.
     pub fn wants_load(&self) -> bool {
         self.inner.lock().admission.wants_pace(self.clock.now())
@@ -269,6 +309,11 @@
         self
     }
 
+    /// Notes that the request leaves for the backend server.
+    pub fn sent(&self) {
+        self.door.on_sent(self.ticket);
+    }
+
     /// Notes that the backend server answered in full.
     pub fn answered(mut self) {
         self.answered = true;
--- a/crates/cherrystream-daemon/src/doors.rs
+++ b/crates/cherrystream-daemon/src/doors.rs
@@ -1,12 +1,14 @@
 //! The doors of this host's backend servers.
 
 use crate::door::{Door, ServerName};
+use crate::held::Held;
 use crate::metrics::Metrics;
 use cherrystream_core::admission;
+use cherrystream_core::cold_pace::ColdLimits;
 use cherrystream_core::measuring::Check;
 use cherrystream_net::clock::Clock;
 use cherrystream_net::pool::Pool;
-use cherrystream_schema::messages::{BackendServer, Instance, Shared};
+use cherrystream_schema::messages::{BackendServer, Instance};
 use http::HeaderName;
 use parking_lot::RwLock;
 use std::collections::BTreeMap;
@@ -16,15 +18,32 @@
 /// Time over which a backend server that starts gets its full slots.
 const RAMP: Duration = Duration::from_secs(2);
 
+/// Thousandths of a request.
+const MILLI: f64 = 1_000.0;
+
+/// How much the backend servers of this host are given.
+#[derive(Clone, Copy, Debug)]
+pub struct DoorOptions {
+    /// Requests that may wait for each slot.
+    pub queue_per_slot: f64,
+    /// Share of the slots that is used.
+    pub slot_share: f64,
+    /// How many times its own figure a cold backend server may get in a second.
+    pub cold_over: f64,
+    /// Requests beyond that which it may get in any one second.
+    pub cold_slack: f64,
+}
+
 /// The doors by service and name.
 pub struct Doors {
     host: Arc<str>,
-    queue_per_slot: f64,
-    slot_share: f64,
+    opts: DoorOptions,
     clock: Clock,
     /// Header by which an answer names its request.
     id_header: HeaderName,
     metrics: Metrics,
+    /// What cold backend servers take, by service. Taken with no other lock.
+    cold: RwLock<BTreeMap<String, ColdLimits>>,
     doors: RwLock<BTreeMap<ServerName, Arc<Door>>>,
     /// Door to the instance that reports itself to this daemon.
     instance: RwLock<Option<Arc<Door>>>,
@@ -34,19 +53,18 @@
     /// Creates a host without doors.
     pub fn new(
         host: Arc<str>,
-        queue_per_slot: f64,
-        slot_share: f64,
+        opts: DoorOptions,
         clock: Clock,
         id_header: HeaderName,
         metrics: Metrics,
     ) -> Doors {
         Doors {
             host,
-            queue_per_slot,
-            slot_share,
+            opts,
             clock,
             id_header,
             metrics,
+            cold: RwLock::default(),
             doors: RwLock::default(),
             instance: RwLock::default(),
         }
@@ -81,13 +99,13 @@
     pub fn set_instance(&self, instance: Option<&Instance>) {
         let Some(word) = instance else { return };
         let name = ServerName::new(&word.service, &word.id);
+        let opts = self.options(&word.service, word.slots);
         let mut slot = self.instance.write();
         let known = slot.as_ref().filter(|d| d.id == name && d.backend.address() == word.address);
         let door = match known {
             Some(door) => door.clone(),
             None => {
                 let backend = self.pool(&word.address);
-                let opts = self.options(word.slots);
                 Arc::new(Door::new(name, backend, opts, 0, self.clock))
             }
         };
@@ -97,7 +115,9 @@
     }
 
     /// Takes the accepted configuration. A door that goes lets those inside finish.
-    pub fn set(&self, shared: &Shared) {
+    pub fn set(&self, held: &Held) {
+        self.set_cold(held);
+        let shared = &held.shared;
         let mut doors = self.doors.write();
         let mut old = std::mem::take(&mut *doors);
         for (service, entry) in &shared.config.services {
@@ -107,7 +127,10 @@
                 let door = match old.remove(&key).filter(|d| d.backend.address() == server.address)
                 {
                     Some(door) => {
-                        door.set_options(self.options(server.slots), entry.measuring_per_second);
+                        door.set_options(
+                            self.options(service, server.slots),
+                            entry.measuring_per_second,
+                        );
                         door
                     }
                     None => Arc::new(self.open(&key, server, entry.measuring_per_second)),
@@ -117,9 +140,34 @@
         }
     }
 
+    /// Takes what cold backend servers take.
+    fn set_cold(&self, held: &Held) {
+        let stated = held.routes.iter().flat_map(|table| &table.services);
+        let limits = stated.filter_map(|(name, service)| {
+            let per_second = f64::from(service.cold_milli_per_s?) / MILLI;
+            let limits = ColdLimits::new(per_second, self.opts.cold_over, self.opts.cold_slack);
+            Some((name.clone(), limits))
+        });
+        *self.cold.write() = limits.collect();
+        if let Some(door) = self.instance() {
+            door.set_cold(self.cold_limits(&door.id.service));
+        }
+    }
+
+    /// Forgets what was heard of the warmth of this host's backend server.
+    pub fn doubt_warmth(&self) {
+        if let Some(door) = self.instance() {
+            door.doubt_warmth();
+        }
+    }
+
+    fn cold_limits(&self, service: &str) -> Option<ColdLimits> {
+        self.cold.read().get(service).copied()
+    }
+
     fn open(&self, name: &ServerName, server: &BackendServer, measuring_per_second: u32) -> Door {
         let backend = self.pool(&server.address);
-        let opts = self.options(server.slots);
+        let opts = self.options(&name.service, server.slots);
         Door::new(name.clone(), backend, opts, measuring_per_second, self.clock)
     }
 
@@ -127,8 +175,9 @@
         Pool::new(address, self.metrics.connects.clone()).with_id(self.id_header.clone())
     }
 
-    fn options(&self, slots: u32) -> admission::Options {
-        let queue = (f64::from(slots) * self.queue_per_slot).ceil() as u32;
-        admission::Options { slots, queue, ramp: RAMP, share: self.slot_share }
+    fn options(&self, service: &str, slots: u32) -> admission::Options {
+        let queue = (f64::from(slots) * self.opts.queue_per_slot).ceil() as u32;
+        let cold = self.cold_limits(service);
+        admission::Options { slots, queue, ramp: RAMP, share: self.opts.slot_share, cold }
     }
 }
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -196,7 +196,7 @@
     }
 
     /// A host that leaves takes no new work, whoever said that it leaves.
-    fn check_leaving(&self) -> Option<Reason> {
+    pub(crate) fn check_leaving(&self) -> Option<Reason> {
         let out = shared::is_out(&self.held.get().shared, &self.host);
         (out || self.phases.now() >= Phase::Draining).then_some(Reason::HostLeaving)
     }
@@ -249,10 +249,15 @@
             () = self.phases.reached(Phase::Ending) => return Err(self.refuse(Reason::HostLeaving)),
             entered = door.enter(arrival, &call.kind) => entered,
         };
-        entered.map_err(|refusal| {
+        let permit = entered.map_err(|refusal| {
             let refused = self.refuse(refusal.reason);
             Refused { retry_after: refusal.retry_after, ..refused }
-        })
+        })?;
+        // One that waited may find that its failure domain has been evacuated meanwhile.
+        match shared::is_evacuated(&self.held.get().shared, &self.host) {
+            true => Err(self.refuse(Reason::HostLeaving)),
+            false => Ok(permit),
+        }
     }
 
     /// Makes the exchange with the backend server. The slot is taken until the answer's end.
@@ -272,6 +277,7 @@
         *req.version_mut() = http::Version::HTTP_11;
         let label = ServerLabel { server: door.id.name.to_string() };
         self.metrics.dispatched.get_or_create(&label).inc();
+        permit.sent();
         let sending = door.backend.send(connection, req);
         let res = match tokio::time::timeout(remaining, sending).await {
             Ok(Ok(res)) => res,
--- a/crates/cherrystream-daemon/src/instances.rs
+++ b/crates/cherrystream-daemon/src/instances.rs
@@ -4,7 +4,7 @@
 use cherrystream_core::instances::{InstanceReport, Keeper, Verdict};
 use cherrystream_core::units::Revision;
 use cherrystream_net::body::{self, Body, Start};
-use cherrystream_net::interface::{CallInterface, Fault, ReportAnswer};
+use cherrystream_net::interface::{CallInterface, Fault, ReportAnswer, Reported};
 use cherrystream_schema::messages::{Instance, InstanceRecord};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -82,7 +82,7 @@
             });
         };
         match self.interface.read_report(&head, &bytes) {
-            Ok(report) => self.report(report).await,
+            Ok(reported) => self.report(reported).await,
             Err(fault) => ReportAnswer::Bad(fault),
         }
     }
@@ -90,17 +90,23 @@
     /// Takes what the instance says of itself, and returns once it is registered or cannot be in time. A report that
     /// comes before the word of control waits for it: after a loss of power all backend servers report while their
     /// daemons still look for a leader.
-    pub async fn report(&self, report: InstanceReport) -> ReportAnswer {
+    pub async fn report(&self, reported: impl Into<Reported>) -> ReportAnswer {
+        let reported = reported.into();
         let mut changes = self.changes.subscribe();
         let in_time = async {
             // The sender lives as long as this does, so the wait cannot fail.
             let _ = changes.wait_for(|_| self.keeper.lock().is_confirmed()).await;
-            self.keep(report).await
+            self.keep(reported).await
         };
         tokio::time::timeout(REGISTRATION_WAIT, in_time).await.unwrap_or(ReportAnswer::NotNow)
     }
 
-    async fn keep(&self, report: InstanceReport) -> ReportAnswer {
+    async fn keep(&self, reported: Reported) -> ReportAnswer {
+        let Reported { report, cold_for } = reported;
+        let warmth = match &report {
+            InstanceReport::Runs(run) => cold_for.map(|cold_for| (run.clone(), cold_for)),
+            InstanceReport::Ends { .. } => None,
+        };
         let before = self.current();
         let verdict = self.keeper.lock().on_report(report);
         // The door closes before anybody is told that the instance leaves.
@@ -108,6 +114,9 @@
             true => self.doors.set_instance(before.as_ref()),
             false => self.put_in_force(),
         }
+        if let Some((run, cold_for)) = warmth {
+            self.tell_warmth(&run, cold_for);
+        }
         match verdict {
             Verdict::Acknowledge => ReportAnswer::Taken,
             Verdict::NotYet => ReportAnswer::NotNow,
@@ -115,6 +124,12 @@
         }
     }
 
+    fn tell_warmth(&self, run: &Instance, cold_for: Duration) {
+        if let Some(door) = self.doors.get(&run.service, &run.id) {
+            door.on_reported_warmth(run.sequence, cold_for);
+        }
+    }
+
     async fn await_registration(&self) -> ReportAnswer {
         let mut changes = self.changes.subscribe();
         match changes.wait_for(|_| self.keeper.lock().is_registered()).await {
--- a/crates/cherrystream-daemon/src/measure.rs
+++ b/crates/cherrystream-daemon/src/measure.rs
@@ -16,6 +16,8 @@
 
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
+/// As `TICK`, while the instance is cold and requests wait for their turn: some three times in a turn.
+const COLD_TICK: Duration = Duration::from_millis(10);
 /// Longest time for one check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest time between checks; more would tell nothing new.
@@ -37,13 +39,20 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut due = HashMap::new();
     loop {
-        interval.tick().await;
+        let is_cold = inbound.doors.instance().is_some_and(|door| door.is_cold());
+        if is_cold {
+            tokio::time::sleep(COLD_TICK).await;
+        } else {
+            interval.tick().await;
+        }
         let now = m.clock.now();
         inbound.expire_reservations();
         if let Some(door) = inbound.doors.instance() {
             door.tick();
-            if door.wants_load() {
-                tokio::spawn(ask_load(door, inbound.clone(), m.clone()));
+            // One that gets no work is asked once it gets some again.
+            let asks = inbound.check_leaving().is_none();
+            if asks && (door.wants_load() || door.wants_warmth()) {
+                tokio::spawn(ask_health(door, inbound.clone(), m.clone()));
             }
         }
         for door in inbound.doors.listed() {
@@ -80,8 +89,8 @@
     door.on_check(check);
 }
 
-/// Asks a slow instance whether it still is.
-async fn ask_load(door: Arc<Door>, inbound: Arc<Inbound>, m: Measuring) {
+/// Asks an instance whether it is slow or cold.
+async fn ask_health(door: Arc<Door>, inbound: Arc<Inbound>, m: Measuring) {
     let Some(path) = inbound.health_path(&door.id.service) else { return };
     m.metrics.measuring.get_or_create(&ServerLabel { server: door.id.name.to_string() }).inc();
     let asked = tokio::time::timeout(CHECK_TIMEOUT, request(&door.backend, &path));
@@ -90,6 +99,7 @@
         if let Some(load) = inbound.interface.read_load(&parts) {
             door.on_load(&load);
         }
+        door.on_health(&inbound.interface.read_health(&parts));
         // The connection is kept only once the answer was read.
         let _ = body::read_start(body, ANSWER_BYTES).await;
     }
--- a/crates/cherrystream-daemon/src/own_interface.rs
+++ b/crates/cherrystream-daemon/src/own_interface.rs
@@ -6,7 +6,8 @@
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_net::body::{self, Body};
 use cherrystream_net::interface::{
-    CallInterface, CallerHead, Execution, Fault, RefusalHead, ReportAnswer, SendHead, ServerLoad,
+    CallInterface, CallerHead, Execution, Fault, HealthWord, RefusalHead, ReportAnswer, Reported,
+    SendHead, ServerLoad,
 };
 use cherrystream_schema::messages::{ErrorReply, Instance};
 use http::{HeaderMap, HeaderName, Method, Response, StatusCode, request, response};
@@ -60,6 +61,11 @@
         None
     }
 
+    fn read_health(&self, head: &response::Parts) -> HealthWord {
+        let instance = headers::text(&head.headers, &headers::SERVER).map(str::to_string);
+        HealthWord { instance, cold_for: read_cold(&head.headers) }
+    }
+
     fn remove_answer_head(&self, _map: &mut HeaderMap) {}
 
     fn write_refusal(&self, refusal: &RefusalHead<'_>) -> Response<Body> {
@@ -75,7 +81,7 @@
         path == READINESS
     }
 
-    fn read_report(&self, head: &request::Parts, body: &[u8]) -> Result<InstanceReport, Fault> {
+    fn read_report(&self, head: &request::Parts, body: &[u8]) -> Result<Reported, Fault> {
         let Some(id) = head.uri.path().strip_prefix(INSTANCES).filter(|id| !id.is_empty()) else {
             return Err(Fault {
                 what: format!("there is nothing at {}", head.uri.path()),
@@ -83,13 +89,15 @@
             });
         };
         if head.method == Method::DELETE {
-            return Ok(InstanceReport::Ends { id: id.into() });
+            let report = InstanceReport::Ends { id: id.into() };
+            return Ok(Reported { report, cold_for: None });
         }
         let instance: Instance = serde_json::from_slice(body).map_err(|e| Fault {
             what: format!("the report cannot be read: {e}"),
             remedy: "send id, service, address, slots, state and sequence".into(),
         })?;
-        Ok(InstanceReport::Runs(Instance { id: id.into(), ..instance }))
+        let report = InstanceReport::Runs(Instance { id: id.into(), ..instance });
+        Ok(Reported { report, cold_for: read_cold(&head.headers) })
     }
 
     fn write_report_answer(&self, answer: &ReportAnswer) -> Response<Body> {
@@ -112,3 +120,8 @@
         res
     }
 }
+
+/// Reads how much longer a backend server is cold.
+fn read_cold(map: &HeaderMap) -> Option<Duration> {
+    headers::parsed(map, &headers::COLD_MS).map(Duration::from_millis)
+}
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -1,6 +1,6 @@
 //! Puts the parts of the daemon role together.
 
-use crate::doors::Doors;
+use crate::doors::{DoorOptions, Doors};
 use crate::errors::Result;
 use crate::held::HeldCell;
 use crate::inbound::Inbound;
@@ -16,6 +16,7 @@
 use cherrystream_core::attempts::{self, Attempts};
 use cherrystream_core::distribution::Library;
 use cherrystream_core::replica_choice::ReplicaChoice;
+use cherrystream_core::shared;
 use cherrystream_core::units::Revision;
 use cherrystream_net::body::Body;
 use cherrystream_net::clock::Clock;
@@ -270,8 +271,12 @@
         incarnation,
         doors: Arc::new(Doors::new(
             host.clone(),
-            settings.queue_per_slot,
-            settings.slot_share,
+            DoorOptions {
+                queue_per_slot: settings.queue_per_slot,
+                slot_share: settings.slot_share,
+                cold_over: settings.cold_over,
+                cold_slack: settings.cold_slack,
+            },
             clock,
             cx.interface.id_header(),
             cx.metrics.clone(),
@@ -295,9 +300,15 @@
     outbound: Arc<Outbound>,
     inbound: Arc<Inbound>,
 ) {
+    let mut was_evacuated = false;
     while revisions.changed().await.is_ok() {
         let now = held.get();
-        inbound.doors.set(&now.shared);
+        let is_evacuated = shared::is_evacuated(&now.shared, &inbound.host);
+        if std::mem::replace(&mut was_evacuated, is_evacuated) && !is_evacuated {
+            // Its backend servers may have become cold while they got no work.
+            inbound.doors.doubt_warmth();
+        }
+        inbound.doors.set(&now);
         outbound.set(&now);
     }
 }
--- a/crates/cherrystream-daemon/tests/reports.rs
+++ b/crates/cherrystream-daemon/tests/reports.rs
@@ -2,7 +2,7 @@
 
 use cherrystream_core::instances::InstanceReport;
 use cherrystream_core::units::Revision;
-use cherrystream_daemon::doors::Doors;
+use cherrystream_daemon::doors::{DoorOptions, Doors};
 use cherrystream_daemon::instances::Instances;
 use cherrystream_daemon::metrics::Metrics;
 use cherrystream_daemon::own_interface::OwnInterface;
@@ -26,7 +26,9 @@
 fn instances() -> Arc<Instances> {
     let interface = Arc::new(OwnInterface);
     let header = interface.id_header();
-    let doors = Doors::new("own".into(), 1.0, 0.8, Clock::default(), header, Metrics::default());
+    let opts =
+        DoorOptions { queue_per_slot: 1.0, slot_share: 0.8, cold_over: 1.0, cold_slack: 1.0 };
+    let doors = Doors::new("own".into(), opts, Clock::default(), header, Metrics::default());
     Arc::new(Instances::new(Arc::new(doors), interface))
 }
 
--- a/crates/cherrystream-daemon/tests/reserving.rs
+++ b/crates/cherrystream-daemon/tests/reserving.rs
@@ -122,7 +122,8 @@
         attempts_at_most: 2,
         targets: vec![RouteTarget { service: "orders".into(), weight: 1 }],
     };
-    let routed = RoutedService { health_path: "/".into(), connections_at_most: 100 };
+    let routed =
+        RoutedService { health_path: "/".into(), connections_at_most: 100, cold_milli_per_s: None };
     state.routes = Some(RouteTable {
         number: 1,
         routes: [("r-1".to_string(), route)].into(),
--- a/crates/cherrystream-net/src/interface.rs
+++ b/crates/cherrystream-net/src/interface.rs
@@ -6,7 +6,7 @@
 use crate::body::Body;
 use cherrystream_core::instances::InstanceReport;
 use cherrystream_core::reasons::Reason;
-use cherrystream_schema::messages::RouteOrder;
+use cherrystream_schema::messages::{Intent, RouteOrder};
 use http::{HeaderMap, HeaderName, Response, request, response};
 use std::time::Duration;
 
@@ -56,6 +56,30 @@
     pub slowness: u32,
 }
 
+/// What an instance reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reported {
+    /// What becomes of it.
+    pub report: InstanceReport,
+    /// How much longer it is cold, where it says so.
+    pub cold_for: Option<Duration>,
+}
+
+impl From<InstanceReport> for Reported {
+    fn from(report: InstanceReport) -> Reported {
+        Reported { report, cold_for: None }
+    }
+}
+
+/// What an answer of the health endpoint tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HealthWord {
+    /// Instance that answers, where it says so.
+    pub instance: Option<String>,
+    /// How much longer it is cold, where it says so.
+    pub cold_for: Option<Duration>,
+}
+
 /// A request that was not answered by a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct RefusalHead<'a> {
@@ -114,6 +138,9 @@
     /// Reads a backend server's word on its load, if it gives one.
     fn read_load(&self, head: &response::Parts) -> Option<ServerLoad>;
 
+    /// Reads what an answer of the health endpoint tells.
+    fn read_health(&self, head: &response::Parts) -> HealthWord;
+
     /// Removes what a backend server says to the system only. [`CallInterface::mark_answered`] writes
     /// what its caller gets of it.
     fn remove_answer_head(&self, headers: &mut HeaderMap);
@@ -132,7 +159,7 @@
     /// # Errors
     ///
     /// Fails when it is none, or cannot be read.
-    fn read_report(&self, head: &request::Parts, body: &[u8]) -> Result<InstanceReport, Fault>;
+    fn read_report(&self, head: &request::Parts, body: &[u8]) -> Result<Reported, Fault>;
 
     /// Writes the answer to an instance's report.
     fn write_report_answer(&self, answer: &ReportAnswer) -> Response<Body>;
@@ -145,6 +172,8 @@
     ReplaceRoutes(Box<RouteOrder>),
     /// To read the route table back.
     ReadRoutes,
+    /// To change the configuration by an intent, without a plan.
+    Intend(Intent),
 }
 
 /// Answer to an order.
@@ -152,6 +181,8 @@
 pub enum OrderAnswer {
     /// The route table with this number holds.
     Held(u64),
+    /// The intent holds.
+    Intended,
     /// The route table as the operator wrote it.
     Table(String),
     /// There is no route table yet.
--- a/crates/cherrystream/src/cli.rs
+++ b/crates/cherrystream/src/cli.rs
@@ -4,7 +4,7 @@
 
 /// A load balancer for servers whose load shifts in milliseconds.
 ///
-/// An intent (`service`, `kind`, `backend`, `host`) prints a plan; nothing changes until
+/// An intent (`service`, `kind`, `backend`, `host`, `evacuate`) prints a plan; nothing changes until
 /// `confirm PLAN`. Where the API is: --api ADDRESS or CHERRYSTREAM_API, by default 127.0.0.1:7301.
 /// The token: --token-file FILE or CHERRYSTREAM_TOKEN_FILE.
 #[derive(FromArgs)]
@@ -24,6 +24,7 @@
     Kind(KindArgs),
     Backend(BackendArgs),
     Host(HostArgs),
+    Evacuate(EvacuateArgs),
     Plan(PlanArgs),
     Confirm(ConfirmArgs),
     Config(ConfigArgs),
@@ -184,6 +185,21 @@
     }
 }
 
+api_command! {
+    /// Plan to send no new work to a failure domain, or to send work again: `start DOMAIN` or `end DOMAIN`; `list`
+    /// shows those that are evacuated.
+    #[derive(FromArgs)]
+    #[argh(subcommand, name = "evacuate")]
+    pub struct EvacuateArgs {
+        /// start, end or list
+        #[argh(positional)]
+        pub action: String,
+        /// name of the failure domain
+        #[argh(positional)]
+        pub failure_domain: Option<String>,
+    }
+}
+
 api_command! {
     /// Show a plan again.
     #[derive(FromArgs)]
--- a/crates/cherrystream/src/commands.rs
+++ b/crates/cherrystream/src/commands.rs
@@ -1,7 +1,7 @@
 //! The commands that speak to the control API.
 
 use crate::api_client::ApiClient;
-use crate::cli::{BackendArgs, Command, HostArgs, KindArgs, ServiceArgs, Target};
+use crate::cli::{BackendArgs, Command, EvacuateArgs, HostArgs, KindArgs, ServiceArgs, Target};
 use crate::errors::{self, Result};
 use crate::print;
 use cherrystream_schema::messages::{ConfigReply, ConfirmReply, Intent, PlanReply, StatusReply};
@@ -23,6 +23,12 @@
         Command::Kind(args) => plan(&args.target(), kind(args)?).await,
         Command::Backend(args) => plan(&args.target(), backend(args)?).await,
         Command::Host(args) => plan(&args.target(), host(args)?).await,
+        Command::Evacuate(args) if args.action == "list" => {
+            let target = args.target();
+            let reply: ConfigReply = ApiClient::try_new(&target)?.get("/v1/config").await?;
+            show(&target, &reply, print::evacuations)
+        }
+        Command::Evacuate(args) => plan(&args.target(), evacuate(args)?).await,
         Command::Plan(args) => {
             let target = args.target();
             let path = format!("/v1/plans/{}", args.plan);
@@ -114,6 +120,15 @@
     }
 }
 
+fn evacuate(args: &EvacuateArgs) -> Result<Intent> {
+    let failure_domain = || needed(&args.failure_domain, "DOMAIN", "the name of a failure domain");
+    match args.action.as_str() {
+        "start" => Ok(Intent::Evacuate { failure_domain: failure_domain()? }),
+        "end" => Ok(Intent::EndEvacuation { failure_domain: failure_domain()? }),
+        other => Err(unknown_action(other, "start, end or list")),
+    }
+}
+
 fn needed<T: Clone>(value: &Option<T>, option: &str, meaning: &str) -> Result<T> {
     let missing = || errors::usage(format!("{option} is missing"), format!("give {meaning}"));
     value.clone().ok_or_else(missing)
--- a/crates/cherrystream/src/print.rs
+++ b/crates/cherrystream/src/print.rs
@@ -30,6 +30,14 @@
     format!("plan {} is accepted at revision {}\n", reply.plan, reply.revision)
 }
 
+/// Writes which failure domains are evacuated.
+pub fn evacuations(reply: &ConfigReply) -> String {
+    match reply.config.failure_domains_out.as_slice() {
+        [] => "no failure domain is evacuated\n".into(),
+        domains => format!("failure domains evacuated: {}\n", domains.join(", ")),
+    }
+}
+
 /// Writes the configuration.
 pub fn config(reply: &ConfigReply) -> String {
     let mut text = format!("revision {}\n", reply.revision);
@@ -55,6 +63,9 @@
     if !reply.config.hosts_out.is_empty() {
         let _ = writeln!(text, "hosts out: {}", reply.config.hosts_out.join(", "));
     }
+    if !reply.config.failure_domains_out.is_empty() {
+        text.push_str(&evacuations(reply));
+    }
     text
 }
 
--- a/crates/cherrystream/tests/processes/operators.rs
+++ b/crates/cherrystream/tests/processes/operators.rs
@@ -131,3 +131,37 @@
     session += &format!("$ cherrystream confirm nothing\n{}", told(&api, &["confirm", "nothing"]));
     insta::assert_snapshot!(session);
 }
+
+/// Every control process is killed right after the order was confirmed: the evacuation outlasts it, as configuration does.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_outlasts_the_loss_of_all_control_processes() {
+    let mut pair = path::pair(3).await;
+    let api = pair.site.any_api();
+    let planned = told(&api, &["evacuate", "start", "b"]);
+    assert!(planned.contains("failure domain 'b'"), "{planned}");
+    assert!(planned.contains("leaves 1 of 2 backend servers of quotes"), "{planned}");
+    let plan = planned.split(' ').nth(1).unwrap().to_string();
+    assert!(told(&api, &["confirm", &plan]).contains("is accepted"));
+    for replica in 1..=3 {
+        pair.site.kill_control(replica);
+    }
+    for replica in 1..=3 {
+        pair.site.start_control(replica);
+    }
+    pair.site.leader().await;
+    pair.site.in_force(&[&pair.a, &pair.b]).await;
+    let listed = told(&pair.site.any_api(), &["evacuate", "list"]);
+    assert!(listed.starts_with("failure domains evacuated: b\n"), "{listed}");
+    let before = client::counts(&pair.server_b.address).await.runs;
+    for _ in 0..10 {
+        let answer = pair.b.call(&Ask::get("/work").service("quotes")).await.unwrap();
+        assert_eq!(answer.work().server, "quotes-a");
+    }
+    assert_eq!(client::counts(&pair.server_b.address).await.runs, before);
+    pair.site.accept(json!({"intent": "end-evacuation", "failure_domain": "b"})).await;
+    wait::until("host-b answers", || async {
+        let answer = pair.b.call(&Ask::get("/work").service("quotes")).await?;
+        (answer.work().server == "quotes-b").then_some(())
+    })
+    .await;
+}
--- a/crates/cherrystream/tests/processes/support/site.rs
+++ b/crates/cherrystream/tests/processes/support/site.rs
@@ -255,11 +255,14 @@
         client::send(api, &Ask::post(&format!("/v1/plans/{plan}/confirm"), "")).await
     }
 
-    /// States an intent and confirms its plan; returns the revision.
+    /// States an intent and confirms its plan; returns the revision. A confirmation without a clear answer may have been
+    /// accepted, so the same calls are sent again, with the same key.
     pub async fn accept(&self, intent: Value) -> String {
+        let key = format!("accept-{:016x}", rand::random::<u64>());
+        let ask = Ask::post("/v1/intents", intent.to_string()).key(&key);
         wait::until("the intent is accepted", || async {
             let api = self.any_api();
-            let planned = self.intend(&api, &intent).await?;
+            let planned = client::send(&api, &ask).await?;
             if planned.status == 503 {
                 return None;
             }
--- a/crates/cherrystream/tests/processes/transfers.rs
+++ b/crates/cherrystream/tests/processes/transfers.rs
@@ -150,7 +150,11 @@
         head_timeout_us: 3_000_000,
         idle_timeout_us: 15_000_000,
     };
-    let service = RoutedService { health_path: "/health".into(), connections_at_most: 100 };
+    let service = RoutedService {
+        health_path: "/health".into(),
+        connections_at_most: 100,
+        cold_milli_per_s: None,
+    };
     let table = RouteTable {
         number,
         routes: (0..ROUTES).map(|i| (format!("r{i}"), route(&mut rng))).collect(),
