--- a/crates/cherrystream-core/src/cold_pace.rs
+++ b/crates/cherrystream-core/src/cold_pace.rs
@@ -1,9 +1,9 @@
 //! How many requests a cold backend server is given: never more than its bound in any second.
 //!
-//! A door counts what it sent, and gives the server as much as it may have as soon as requests come. That serves more of
-//! them in time than an even pace: over six pairs of days with a loss of power the worth of a day was higher by 0.02 (median;
-//! -0.003 to +0.065). A process that has just started cannot count what the one before it sent, so it sends nothing to a
-//! cold backend server until its count is whole, unless that server is known to have got nothing before.
+//! A door counts what it sent, and gives the server as much as it may have as soon as requests come. Against an even pace
+//! that was worth 0.02 of a day with a loss of power (median of six pairs of plays; -0.003 to +0.065). A process that has just
+//! started cannot count what the one before it sent, so it sends nothing to a cold backend server until its count is
+//! whole, unless that server is known to have got nothing before. That gives 0.012 of it back, and keeps the bound.
 
 use crate::units::Timestamp;
 use std::collections::VecDeque;
