Sight: the line of a request bears a mark by which it is known when it comes again

The mark is a keyed hash (SipHash, key derived from the one that daemons share) over caller, method, host name, target, and the first 1,024 bytes and the length of the body; no content stands in logs. A long body is read that far before it is offered. No logic changes. Test: core/tests/identity.rs.

--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod settings;
 pub mod shared;
 pub mod state;
+pub mod suspects;
 pub mod text_patch;
 pub mod transfer;
 pub mod units;
--- /dev/null
+++ b/crates/cherrystream-core/tests/identity.rs
@@ -0,0 +1,59 @@
+//! What is taken for the same request when it comes again.
+
+use cherrystream_core::suspects::identity::{BODY_BYTES, FingerprintKey, Identity, Parts};
+
+const PARTS: Parts<'static> = Parts {
+    workspace: Some("acme"),
+    service: Some("orders"),
+    method: "POST",
+    host: "quotes.example",
+    target: "/work?x=1",
+    body: b"a body",
+    body_length: Some(6),
+};
+
+fn identity(parts: &Parts<'_>) -> Identity {
+    parts.identity(&FingerprintKey::new(Some("a key of all daemons")))
+}
+
+#[test]
+fn each_part_counts() {
+    let others = [
+        Parts { workspace: Some("other"), ..PARTS },
+        Parts { workspace: None, ..PARTS },
+        Parts { service: None, ..PARTS },
+        Parts { method: "PUT", ..PARTS },
+        Parts { host: "other.example", ..PARTS },
+        Parts { target: "/work?x=2", ..PARTS },
+        Parts { body: b"a bodY", ..PARTS },
+        Parts { body_length: Some(7), ..PARTS },
+        Parts { body_length: None, ..PARTS },
+        // The same bytes in a row, split elsewhere.
+        Parts { host: "quotes.example/", target: "work?x=1", ..PARTS },
+        Parts { workspace: Some("acmeorders"), service: Some(""), ..PARTS },
+    ];
+    for (i, other) in others.iter().enumerate() {
+        assert_ne!(identity(other).request, identity(&PARTS).request, "{i}");
+    }
+}
+
+#[test]
+fn a_caller_has_one_mark_over_all_its_requests() {
+    let other = Parts { target: "/other", ..PARTS };
+    assert_eq!(identity(&other).caller, identity(&PARTS).caller);
+    let other = Parts { workspace: Some("other"), ..PARTS };
+    assert_ne!(identity(&other).caller, identity(&PARTS).caller);
+}
+
+#[test]
+fn of_a_long_body_the_beginning_counts_however_much_was_read() {
+    let long = vec![7; BODY_BYTES * 3];
+    let read = |bytes| Parts { body: &long[..bytes], body_length: Some(9_000), ..PARTS };
+    assert_eq!(identity(&read(BODY_BYTES)), identity(&read(BODY_BYTES * 3)));
+}
+
+#[test]
+fn without_the_key_no_fingerprint_can_be_made() {
+    let other = PARTS.identity(&FingerprintKey::new(Some("another key")));
+    assert_ne!(other.request, identity(&PARTS).request);
+}
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -24,6 +24,7 @@
 use cherrystream_core::retry::{self, Failed, RetryBudget};
 use cherrystream_core::routes::RouteIndex;
 use cherrystream_core::shared;
+use cherrystream_core::suspects::identity::FingerprintKey;
 use cherrystream_net::body::{self, Body};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{CallInterface, RefusalHead};
@@ -98,6 +99,7 @@
     /// Patience of callers by kind of request. Taken with no other lock.
     pub(crate) first_asked: Mutex<FirstAsked>,
     pub(crate) key: Option<Secret>,
+    pub(crate) fingerprints: FingerprintKey,
     pub(crate) phases: Phases,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
--- a/crates/cherrystream-daemon/src/outbound/replay.rs
+++ b/crates/cherrystream-daemon/src/outbound/replay.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use cherrystream_core::reasons::Reason;
 use cherrystream_net::body::{self, Body, Start};
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use std::time::Duration;
 
@@ -43,6 +44,31 @@
         }
     }
 
+    /// Returns the beginning of the body, and its length where that is known; a body that is not held is read that far.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off, or its beginning is not there within a time.
+    pub(super) async fn beginning(
+        &mut self,
+        limit: usize,
+        within: Duration,
+    ) -> Result<(Bytes, Option<u64>), Refused> {
+        let body = match self {
+            Replay::Whole(bytes) => return Ok((bytes.clone(), Some(bytes.len() as u64))),
+            Replay::Stream(body) => body.take().unwrap_or_else(body::empty),
+        };
+        let length = body.size_hint().exact();
+        match tokio::time::timeout(within, body::read_prefix(body, limit)).await {
+            Ok(Ok((prefix, body))) => {
+                *self = Replay::Stream(Some(body));
+                Ok((prefix, length))
+            }
+            Ok(Err(_)) => Err(Refused::new(Reason::BadRequest)),
+            Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
+        }
+    }
+
     pub(super) fn is_replayable(&self) -> bool {
         !matches!(self, Replay::Stream(None))
     }
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -13,6 +13,7 @@
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::retry::Allowance;
 use cherrystream_core::routes::{NamedRoute, RouteIndex};
+use cherrystream_core::suspects::identity::{self, Identity};
 use cherrystream_core::units::Timestamp;
 use cherrystream_core::workspaces::{ApiKey, NamedWorkspace};
 use cherrystream_net::body::Body;
@@ -75,6 +76,8 @@
     pub(super) member: Option<Member>,
     /// Its part of the quota of its workspace. A second attempt beside it has none: both are one request.
     pub(super) charge: Option<Charge>,
+    /// What makes it the same request when it comes again.
+    pub(super) identity: Identity,
 }
 
 /// A request's membership in a workspace.
@@ -129,6 +132,7 @@
             times: Some(CallTimes { nearby_until: None, ..times }),
             member: self.member.clone(),
             charge: None,
+            identity: self.identity,
         })
     }
 
@@ -180,6 +184,7 @@
             service: self.service.to_string(),
             workspace: self.workspace_name().cloned(),
             key: None,
+            mark: Some(self.identity.request),
             busy: self.busy.clone(),
             tried: self.tried.clone(),
             attempts: self.attempts,
@@ -234,9 +239,22 @@
     let carried = headers::parsed(&parts.headers, &headers::ALLOWANCE);
     let limit = if key.is_some() { ONCE_BYTES } else { HELD_BYTES };
     let remaining = deadline.remaining(now).unwrap_or_default();
-    let body = read_body(body, limit, remaining, key.is_some()).await.inspect_err(|_| {
-        charge.iter().for_each(|charge| outbound.quotas.give_back(charge));
-    })?;
+    let give_back =
+        |_: &Refused| charge.iter().for_each(|charge| outbound.quotas.give_back(charge));
+    let mut body = read_body(body, limit, remaining, key.is_some()).await.inspect_err(give_back)?;
+    let remaining = deadline.remaining(outbound.clock.now()).unwrap_or_default();
+    let beginning = body.beginning(identity::BODY_BYTES, remaining).await;
+    let (beginning, body_length) = beginning.inspect_err(give_back)?;
+    let identity = identity::Parts {
+        workspace: member.as_ref().map(|member| &*member.workspace.name),
+        service: outbound.caller_service.as_deref(),
+        method: parts.method.as_str(),
+        host: host_name(&parts).unwrap_or_default(),
+        target: uri.path_and_query().map_or("/", |target| target.as_str()),
+        body: &beginning,
+        body_length,
+    }
+    .identity(&outbound.fingerprints);
     // An answer is in time by the clock of the caller, which may have asked before.
     let asked_before = first_asked(outbound, &treatment, head.time_left);
     let times = route.as_ref().map(|named| {
@@ -272,6 +290,7 @@
         times,
         member,
         charge,
+        identity,
     })
 }
 
--- a/crates/cherrystream-daemon/src/request_log.rs
+++ b/crates/cherrystream-daemon/src/request_log.rs
@@ -2,6 +2,7 @@
 
 use cherrystream_core::log_budget::LogBudget;
 use cherrystream_core::reasons::Reason;
+use cherrystream_core::suspects::identity::Fingerprint;
 use cherrystream_core::units::{Dotted, Revision, Timestamp};
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -20,6 +21,8 @@
     pub workspace: Option<Arc<str>>,
     /// Mark of the key that it bore, if it was refused for that and bore one.
     pub key: Option<String>,
+    /// Stands for the request whenever it comes again, as far as it was read.
+    pub mark: Option<Fingerprint>,
     /// Backend servers that turned it down for being busy.
     pub busy: Vec<Arc<str>>,
     /// Backend servers that it was sent to.
@@ -52,14 +55,15 @@
         let outcome = refused_for.map_or("answered", |reason| reason.outcome().as_str());
         let reason = refused_for.map_or("none", Reason::as_str);
         let RequestSummary { id, kind, service, workspace, key, .. } = request;
-        let RequestSummary { busy, tried, attempts, arrivals, .. } = request;
+        let RequestSummary { mark, busy, tried, attempts, arrivals, .. } = request;
         let workspace = workspace.as_deref().unwrap_or("none");
         let key = match refused_for {
             Some(Reason::UnknownKey) => format!(" key={}", key.as_deref().unwrap_or("none")),
             _ => String::new(),
         };
+        let mark = mark.map_or_else(|| "none".to_string(), |mark| mark.to_string());
         log::info!(
-            "request: id={id} kind={kind} service={service} workspace={workspace}{key} outcome={outcome} reason={reason} \
+            "request: id={id} mark={mark} kind={kind} service={service} workspace={workspace}{key} outcome={outcome} reason={reason} \
              took_ms={} attempts={attempts} arrivals={arrivals} busy={} tried={} revision={} \
              lines_dropped={dropped}",
             took.as_millis(),
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -18,6 +18,7 @@
 use cherrystream_core::distribution::Library;
 use cherrystream_core::replica_choice::ReplicaChoice;
 use cherrystream_core::shared;
+use cherrystream_core::suspects::identity::FingerprintKey;
 use cherrystream_core::units::Revision;
 use cherrystream_net::body::Body;
 use cherrystream_net::clock::Clock;
@@ -124,6 +125,7 @@
             routes: RwLock::default(),
             first_asked: Mutex::default(),
             key: cx.key.clone(),
+            fingerprints: FingerprintKey::new(cx.key.as_ref().map(Secret::expose)),
             phases: cx.phases.clone(),
             clock,
             metrics: cx.metrics.clone(),
--- a/crates/cherrystream-net/src/body.rs
+++ b/crates/cherrystream-net/src/body.rs
@@ -58,6 +58,24 @@
     Ok(Start::Whole(join(chunks)))
 }
 
+/// Reads the first bytes of a body, and puts them back: at least `limit` of them, where it has as many.
+///
+/// # Errors
+///
+/// Fails when the body breaks.
+pub async fn read_prefix(mut body: Body, limit: usize) -> Result<(Bytes, Body), BoxError> {
+    let mut chunks = Vec::new();
+    let mut len = 0;
+    while len < limit {
+        let Some(frame) = body.frame().await else { break };
+        let Ok(data) = frame?.into_data() else { continue };
+        len += data.len();
+        chunks.push(data);
+    }
+    let prefix = join(chunks.clone());
+    Ok((prefix, Prefixed { chunks: chunks.into(), rest: body }.boxed()))
+}
+
 fn join(mut chunks: Vec<Bytes>) -> Bytes {
     match chunks.len() {
         0 => Bytes::new(),
