Failing test: one caller's request that ends backend servers takes the service from all others

Users saw over half of a service's requests fail for 15 s at a time while up to 16 of its servers ended one after the other. Reproduced on whole processes of the product without a platform: five hosts, servers back after 2 s, one deadly request four times a second for 15 s beside 40 others a second.

--- a/crates/cherrystream-standin/src/backend.rs
+++ b/crates/cherrystream-standin/src/backend.rs
@@ -27,6 +27,10 @@
 const FAULTS_BYTES: usize = 64 * 1024;
 /// Size of the pieces of a streamed answer.
 const PIECE: usize = 16 * 1024;
+/// Time for which a request runs that ends the process.
+const ENDS_AFTER: Duration = Duration::from_millis(30);
+/// Exit code of a process that a request has ended.
+const ENDED: i32 = 70;
 /// Header with the identifier of the call.
 const CALL: &str = "cherrystream-call";
 /// Header with the time that remains.
@@ -47,6 +51,8 @@
     pub distance: Duration,
     /// Seed of the random times.
     pub seed: u64,
+    /// Beginning of the paths of requests that end the process.
+    pub ends_on: Option<String>,
 }
 
 impl Default for Options {
@@ -58,6 +64,7 @@
             load_lag: Duration::from_millis(100),
             distance: Duration::ZERO,
             seed: 1,
+            ends_on: None,
         }
     }
 }
@@ -223,6 +230,7 @@
         if let Some(Err(e)) = self.record.as_ref().map(|r| r.write(name)) {
             return json(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string());
         }
+        self.end_on(parts.uri.path()).await;
         if self.happens(faults.fail_share) {
             return json(StatusCode::INTERNAL_SERVER_ERROR, &"failed fast");
         }
@@ -255,6 +263,14 @@
         json(StatusCode::OK, &answer)
     }
 
+    /// Ends the process if the request is one that does so.
+    async fn end_on(&self, path: &str) {
+        if self.opts.ends_on.as_ref().is_some_and(|prefix| path.starts_with(prefix)) {
+            tokio::time::sleep(ENDS_AFTER).await;
+            std::process::exit(ENDED);
+        }
+    }
+
     /// Works for a random time; returns whether the deadline held.
     async fn spend_time(&self, headers: &HeaderMap, uri: &http::Uri, faults: &Faults) -> bool {
         let work = match number_in(uri, "work_ms") {
--- a/crates/cherrystream-standin/src/main.rs
+++ b/crates/cherrystream-standin/src/main.rs
@@ -51,6 +51,9 @@
     /// file that gets a line for each run
     #[argh(option)]
     record: Option<PathBuf>,
+    /// beginning of the paths of requests that end this process soon after they begin
+    #[argh(option)]
+    ends_on: Option<String>,
 }
 
 /// Run a stand-in for the platform's list of hosts; PUT sets the list.
@@ -118,6 +121,7 @@
         slots: args.slots,
         work: Duration::from_micros(args.work_us),
         distance: Duration::from_micros(args.distance_us),
+        ends_on: args.ends_on,
         ..Options::default()
     };
     Backend::new(opts, record).serve(listener, Phases::default()).await;
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod callers;
 mod control;
+mod ending;
 mod leaving;
 mod once;
 mod operators;
