--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -7,6 +7,7 @@
 pub use policies::{Choose, policy};
 pub use server::{Distance, Sent, Server, ServerId};
 
+use crate::suspects::{self, Fingerprint};
 use crate::units::Timestamp;
 use rand::rngs::SmallRng;
 use std::sync::Arc;
@@ -140,6 +141,14 @@
         }
     }
 
+    /// Chooses the one backend server at which a request runs alone: the same for all that hold the same list and find the same
+    /// ones open.
+    pub fn choose_alone(&self, now: Timestamp, request: Fingerprint) -> Option<ServerId> {
+        let open = self.servers.iter().filter(|s| !s.id.out && s.takes_work(now));
+        let chosen = open.max_by_key(|s| suspects::weight(request, &s.id.host))?;
+        Some(chosen.id.clone())
+    }
+
     /// Returns what is known of a backend server.
     pub fn server(&mut self, name: &str) -> Option<&mut Server> {
         self.servers.iter_mut().find(|s| &*s.id.name == name)
--- a/crates/cherrystream-core/src/reasons.rs
+++ b/crates/cherrystream-core/src/reasons.rs
@@ -95,6 +95,10 @@
     EarlierUnknown = "unknown", Unknown, 409, false;
     /// The service has no backend server that takes work.
     NoBackendServer = "no-backend-server", NotRun, 503, false;
+    /// The request ended the backend servers that ran it, and is let through only from time to time.
+    HeldBack = "held-back", NotRun, 503, false;
+    /// Backend servers ended while the request was at work: it runs alone, and another one of its kind does so now.
+    RunsAlone = "runs-alone", NotRun, 503, false;
     /// All slots are taken and the queue is full.
     QueueFull = "queue-full", NotRun, 503, true;
     /// The wait for a slot would outlast the deadline.
--- /dev/null
+++ b/crates/cherrystream-core/src/suspects/ends.rs
@@ -0,0 +1,129 @@
+//! Finds out at one door that its backend server has ended, and which requests were at work there.
+//!
+//! A broken connection alone proves nothing: it may have been reset, or the answer was broken off. An end is proved by a refused
+//! connection or by another run of the backend server, soon after connections broke.
+
+use super::identity::Identity;
+use super::record::EndId;
+use crate::units::Timestamp;
+use std::time::Duration;
+
+/// Time for which a broken connection may still be explained by an end: within it another run of the server is heard of. Measured,
+/// servers are back 1 to 3 s after they end.
+const EXPLAINED_WITHIN: Duration = Duration::from_secs(3);
+/// As `EXPLAINED_WITHIN`, for a request whose caller left while it was at work: a caller that leaves early is not proved innocent.
+const LEFT_WITHIN: Duration = Duration::from_secs(1);
+/// Time after a proved end in which other connections are noticed to have broken with it.
+const NOTICED_WITHIN: Duration = Duration::from_secs(1);
+/// Requests remembered at most: several times the slots of a backend server.
+const REMEMBERED_AT_MOST: usize = 256;
+
+/// A request at work at a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// The request.
+    pub identity: Identity,
+    /// Whether it runs alone: no other request that is known for ends runs there.
+    pub alone: bool,
+}
+
+/// A proved end, with the requests that were at work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// The end.
+    pub id: EndId,
+    /// Requests that were at work.
+    pub at_work: Vec<Sent>,
+}
+
+struct Unexplained {
+    since: Timestamp,
+    until: Timestamp,
+    sent: Sent,
+}
+
+/// What one door knows of ends.
+#[derive(Default)]
+pub struct Ends {
+    unexplained: Vec<Unexplained>,
+    /// The last proved end, until an answer shows that the server is there again.
+    last: Option<(Timestamp, EndId)>,
+    alone: bool,
+    looking: bool,
+}
+
+impl Ends {
+    /// Returns whether somebody has to look for the proof of an end, and nobody does.
+    pub fn begin_look(&mut self, now: Timestamp) -> bool {
+        self.wants_proof(now) && !std::mem::replace(&mut self.looking, true)
+    }
+
+    /// Notes that nobody looks any more.
+    pub fn end_look(&mut self) {
+        self.looking = false;
+    }
+
+    /// Takes the place of the one request that may run alone; returns whether it was free.
+    pub fn begin_alone(&mut self) -> bool {
+        !std::mem::replace(&mut self.alone, true)
+    }
+
+    /// Frees the place of the request that ran alone.
+    pub fn end_alone(&mut self) {
+        self.alone = false;
+    }
+
+    /// Notes that the connection under a request broke. Returns the end that explains it, where that is proved already.
+    pub fn on_broke(&mut self, now: Timestamp, sent: Sent) -> Option<Ended> {
+        let proved = self.last.filter(|(at, _)| now.since(*at) < NOTICED_WITHIN);
+        if let Some((_, id)) = proved {
+            return Some(Ended { id, at_work: vec![sent] });
+        }
+        self.remember(now, sent, EXPLAINED_WITHIN);
+        None
+    }
+
+    /// Notes that the caller of a request left while it was at work.
+    pub fn on_left(&mut self, now: Timestamp, sent: Sent) {
+        self.remember(now, sent, LEFT_WITHIN);
+    }
+
+    /// Notes the proof that the server has ended; `id` is used if this is news. Returns the end with the requests that it explains.
+    pub fn on_ended(&mut self, now: Timestamp, id: EndId) -> Option<Ended> {
+        let known = self.last.filter(|(at, _)| now.since(*at) < EXPLAINED_WITHIN);
+        let (at, id) = known.unwrap_or((now, id));
+        self.last = Some((at, id));
+        self.forget_late(now);
+        let at_work: Vec<Sent> = self.unexplained.drain(..).map(|broken| broken.sent).collect();
+        (!at_work.is_empty()).then_some(Ended { id, at_work })
+    }
+
+    /// Notes an end that was planned: it is nobody's fault.
+    pub fn on_planned_end(&mut self) {
+        self.unexplained.clear();
+    }
+
+    /// Notes an answer to a request that was sent at a time: the server was there then, and what broke before broke by itself. An
+    /// answer to an earlier one proves nothing: it may have been read only after the end.
+    pub fn on_answer(&mut self, sent_at: Timestamp) {
+        self.last = self.last.filter(|(at, _)| *at >= sent_at);
+        self.unexplained.retain(|broken| broken.since >= sent_at);
+    }
+
+    /// Returns whether connections have broken that nothing explains yet.
+    pub fn wants_proof(&mut self, now: Timestamp) -> bool {
+        self.forget_late(now);
+        !self.unexplained.is_empty()
+    }
+
+    fn remember(&mut self, now: Timestamp, sent: Sent, within: Duration) {
+        self.forget_late(now);
+        if self.unexplained.len() < REMEMBERED_AT_MOST {
+            self.unexplained.push(Unexplained { since: now, until: now + within, sent });
+        }
+    }
+
+    fn forget_late(&mut self, now: Timestamp) {
+        self.unexplained.retain(|broken| now < broken.until);
+    }
+}
--- a/crates/cherrystream-core/src/suspects/identity.rs
+++ b/crates/cherrystream-core/src/suspects/identity.rs
@@ -47,6 +47,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallerMark(pub u64);
 
+impl CallerMark {
+    /// Returns what stands for a caller, by its workspace and by the service beside which its requests begin.
+    pub fn new(key: &FingerprintKey, workspace: Option<&str>, service: Option<&str>) -> CallerMark {
+        let mut hasher = SipHasher13::new_with_key(&key.0);
+        write_part(&mut hasher, workspace.unwrap_or_default().as_bytes());
+        write_part(&mut hasher, service.unwrap_or_default().as_bytes());
+        CallerMark(hasher.finish())
+    }
+}
+
 /// What the system knows of a request that comes again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Identity {
@@ -78,10 +88,9 @@
 impl Parts<'_> {
     /// Returns what stands for the request.
     pub fn identity(&self, key: &FingerprintKey) -> Identity {
+        let caller = CallerMark::new(key, self.workspace, self.service);
         let mut hasher = SipHasher13::new_with_key(&key.0);
-        write_part(&mut hasher, self.workspace.unwrap_or_default().as_bytes());
-        write_part(&mut hasher, self.service.unwrap_or_default().as_bytes());
-        let caller = CallerMark(hasher.finish());
+        hasher.write(&caller.0.to_le_bytes());
         for part in [self.method, self.host, self.target] {
             write_part(&mut hasher, part.as_bytes());
         }
--- /dev/null
+++ b/crates/cherrystream-core/tests/suspects/ends.rs
@@ -0,0 +1,97 @@
+//! What counts as an end of a backend server, and who was at work.
+
+use super::{ended, ms, sent};
+use cherrystream_core::suspects::{EndId, Ends};
+
+const END: EndId = EndId(9);
+
+#[test]
+fn a_proved_end_names_all_that_were_at_work() {
+    let mut ends = Ends::default();
+    assert_eq!(ends.on_broke(ms(10), sent(1, false)), None);
+    assert_eq!(ends.on_broke(ms(11), sent(2, false)), None);
+    let proved = ends.on_ended(ms(12), END);
+    assert_eq!(proved, Some(ended(9, &[sent(1, false), sent(2, false)])));
+    // One whose broken connection is noticed after the proof belongs to the same end.
+    assert_eq!(ends.on_broke(ms(60), sent(3, false)), Some(ended(9, &[sent(3, false)])));
+}
+
+#[test]
+fn a_broken_connection_without_a_proof_blames_nobody() {
+    let mut ends = Ends::default();
+    ends.on_broke(ms(10), sent(1, false));
+    // The server answers what was sent later: the connection was reset.
+    ends.on_answer(ms(20));
+    assert!(!ends.wants_proof(ms(30)));
+    assert_eq!(ends.on_ended(ms(40), END), None);
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_acquits_nobody() {
+    let mut ends = Ends::default();
+    ends.on_broke(ms(10), sent(1, false));
+    // It was sent before the connection broke, and may have been read only after the end.
+    ends.on_answer(ms(5));
+    assert_eq!(ends.on_ended(ms(12), END), Some(ended(9, &[sent(1, false)])));
+    // Nor is the end forgotten: what breaks now broke with it, and does not count twice.
+    ends.on_answer(ms(6));
+    assert_eq!(ends.on_broke(ms(13), sent(1, false)), Some(ended(9, &[sent(1, false)])));
+    assert_eq!(ends.on_ended(ms(14), EndId(10)), None);
+}
+
+#[test]
+fn a_broken_connection_is_not_explained_by_an_end_much_later() {
+    let mut ends = Ends::default();
+    ends.on_broke(ms(10), sent(1, false));
+    assert!(ends.wants_proof(ms(3_000)));
+    assert!(!ends.wants_proof(ms(3_010)));
+    assert_eq!(ends.on_ended(ms(3_010), END), None);
+}
+
+#[test]
+fn a_request_whose_caller_left_is_a_suspect_for_a_second() {
+    let mut ends = Ends::default();
+    ends.on_left(ms(10), sent(1, false));
+    assert_eq!(ends.on_ended(ms(1_009), END), Some(ended(9, &[sent(1, false)])));
+    let mut ends = Ends::default();
+    ends.on_left(ms(10), sent(1, false));
+    assert_eq!(ends.on_ended(ms(1_010), END), None);
+}
+
+#[test]
+fn a_planned_end_is_nobodys_fault() {
+    let mut ends = Ends::default();
+    ends.on_broke(ms(10), sent(1, false));
+    ends.on_planned_end();
+    assert_eq!(ends.on_ended(ms(11), END), None);
+}
+
+#[test]
+fn two_ends_of_one_server_are_two_once_it_has_answered_between() {
+    let mut ends = Ends::default();
+    ends.on_broke(ms(10), sent(1, false));
+    ends.on_ended(ms(11), END);
+    ends.on_answer(ms(500));
+    ends.on_broke(ms(600), sent(1, false));
+    assert_eq!(ends.on_ended(ms(601), EndId(10)), Some(ended(10, &[sent(1, false)])));
+}
+
+#[test]
+fn one_request_runs_alone_at_a_door_at_a_time() {
+    let mut ends = Ends::default();
+    assert!(ends.begin_alone());
+    assert!(!ends.begin_alone());
+    ends.end_alone();
+    assert!(ends.begin_alone());
+}
+
+#[test]
+fn one_looks_for_the_proof_at_a_time() {
+    let mut ends = Ends::default();
+    assert!(!ends.begin_look(ms(9)));
+    ends.on_broke(ms(10), sent(1, false));
+    assert!(ends.begin_look(ms(10)));
+    assert!(!ends.begin_look(ms(11)));
+    ends.end_look();
+    assert!(ends.begin_look(ms(12)));
+}
--- a/crates/cherrystream-daemon/src/door.rs
+++ b/crates/cherrystream-daemon/src/door.rs
@@ -8,13 +8,14 @@
 use cherrystream_core::measuring::{Check, Health, MeasuringBudget};
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::room::{self, Room};
+use cherrystream_core::suspects::Ends;
 use cherrystream_core::units::Timestamp;
 use cherrystream_core::usual_times::UsualTimes;
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{HealthWord, ServerLoad};
 use cherrystream_net::pool::Pool;
 use cherrystream_schema::messages::{Report, ServerState};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,6 +48,8 @@
     /// Budget for measuring it.
     pub budget: Mutex<MeasuringBudget>,
     clock: Clock,
+    /// Whether its backend server has ended, and under which requests. Taken with no other lock.
+    ends: Mutex<Ends>,
     inner: Mutex<Inner>,
 }
 
@@ -78,7 +81,7 @@
             cold_times: UsualTimes::default(),
         };
         let budget = Mutex::new(MeasuringBudget::new(measuring_per_second));
-        Door { id, backend, budget, clock, inner: Mutex::new(inner) }
+        Door { id, backend, budget, clock, ends: Mutex::default(), inner: Mutex::new(inner) }
     }
 
     /// Changes the settings.
@@ -87,6 +90,16 @@
         self.budget.lock().set(measuring_per_second);
     }
 
+    /// Returns what is known of ends of the backend server. It is held for one step at a time.
+    pub fn ends(&self) -> MutexGuard<'_, Ends> {
+        self.ends.lock()
+    }
+
+    /// Returns whether the backend server has said that it leaves.
+    pub fn is_draining(&self) -> bool {
+        self.inner.lock().admission.state() == ServerState::Draining
+    }
+
     /// Learns how much the backend server can take, from what is known of it or of its predecessor.
     pub fn learn_room(&self, room: Room) {
         self.inner.lock().admission.learn_room(room);
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -80,9 +80,27 @@
     Chunk,
     /// For credits of a quota; see [`cherrystream_core::quota`].
     Quota,
+    /// To take and tell what is known of requests that end backend servers; see [`cherrystream_core::suspects`].
+    Suspects,
+    /// For a list of these, for operators.
+    SuspectList,
+    /// To clear one of them, as an operator wants it.
+    SuspectLift,
 }
 
 impl Op {
+    const ALL: [Op; 9] = [
+        Op::Call,
+        Op::Reserve,
+        Op::Fence,
+        Op::Fetch,
+        Op::Chunk,
+        Op::Quota,
+        Op::Suspects,
+        Op::SuspectList,
+        Op::SuspectLift,
+    ];
+
     /// Returns the value of the header.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -92,14 +110,16 @@
             Op::Fetch => "fetch",
             Op::Chunk => "chunk",
             Op::Quota => "quota",
+            Op::Suspects => "suspects",
+            Op::SuspectList => "suspect-list",
+            Op::SuspectLift => "suspect-lift",
         }
     }
 
     /// Reads the value of the header.
     pub fn read(headers: &HeaderMap) -> Option<Op> {
         let text = text(headers, &OP)?;
-        let all = [Op::Call, Op::Reserve, Op::Fence, Op::Fetch, Op::Chunk, Op::Quota];
-        all.into_iter().find(|op| op.as_str() == text)
+        Op::ALL.into_iter().find(|op| op.as_str() == text)
     }
 }
 
--- a/crates/cherrystream-daemon/src/hop.rs
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -7,16 +7,63 @@
 use crate::refusal::Refused;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::reservations::Reservation;
+use cherrystream_core::suspects::Fingerprint;
 use cherrystream_net::body::{self, Body};
 use cherrystream_schema::messages::Report;
 use http::{HeaderMap, Response};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// A fingerprint in eight bytes: its compact form would take ten.
+pub type FingerprintBytes = [u8; 8];
+
+/// Writes a fingerprint.
+pub fn write_fingerprint(request: Fingerprint) -> FingerprintBytes {
+    request.0.to_le_bytes()
+}
+
+/// Reads a fingerprint.
+pub fn read_fingerprint(bytes: FingerprintBytes) -> Fingerprint {
+    Fingerprint(u64::from_le_bytes(bytes))
+}
+
+/// Identifiers of calls. Those that the system makes, and most others, are 16 hexadecimal digits, which take half as many bytes.
+mod call_id {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    #[derive(Serialize, Deserialize)]
+    enum Compact {
+        Digits([u8; 8]),
+        Text(String),
+    }
+
+    pub fn serialize<S: Serializer>(id: &str, to: S) -> Result<S::Ok, S::Error> {
+        let number = u64::from_str_radix(id, 16).ok();
+        let number = number.filter(|number| digits(*number) == id);
+        let compact = match number {
+            Some(number) => Compact::Digits(number.to_le_bytes()),
+            None => Compact::Text(id.into()),
+        };
+        compact.serialize(to)
+    }
+
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<String, D::Error> {
+        Ok(match Compact::deserialize(from)? {
+            Compact::Digits(bytes) => digits(u64::from_le_bytes(bytes)),
+            Compact::Text(id) => id,
+        })
+    }
+
+    fn digits(number: u64) -> String {
+        format!("{number:016x}")
+    }
+}
+
 /// What differs from call to call, as the outbound says it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallHead {
     /// Identifier of the call.
+    #[serde(with = "call_id")]
     pub call: String,
     /// Weight when load is shed.
     pub weight: u32,
@@ -32,12 +79,17 @@
     pub good_us: Option<u64>,
     /// Slot that was reserved for it.
     pub reservation: Option<Reservation>,
+    /// Stands for the request whenever it comes again.
+    pub request: FingerprintBytes,
+    /// Whether it was sent here to run alone.
+    pub alone: bool,
 }
 
 /// What goes with an answer, as the inbound says it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerHead {
     /// Identifier of the call that is answered.
+    #[serde(with = "call_id")]
     pub call: String,
     /// Word on the backend server, if it is there.
     pub report: Option<Report>,
--- a/crates/cherrystream-daemon/src/inbound.rs
+++ b/crates/cherrystream-daemon/src/inbound.rs
@@ -7,6 +7,7 @@
 use crate::held::HeldCell;
 use crate::metrics::{self, Metrics, ServerLabel};
 use crate::refusal::Refused;
+use crate::suspects::{AlonePlace, AtWork, SuspectWatch};
 use bytes::Bytes;
 use cherrystream_core::admission::{Arrival, Sharer};
 use cherrystream_core::attempts::{Attempts, Claimed, RequestKey};
@@ -16,6 +17,7 @@
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::reservations::{Reservation, Reservations};
 use cherrystream_core::shared;
+use cherrystream_core::suspects::{Identity, Verdict};
 use cherrystream_net::body::{self, Body, Ending, Start, Watched};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{CallInterface, Execution, SendHead};
@@ -56,6 +58,10 @@
     pub good_for: Option<Duration>,
     /// Slot that was reserved for it.
     pub reservation: Option<Reservation>,
+    /// What makes it the same request when it comes again.
+    pub identity: Identity,
+    /// Whether it was sent here to run alone.
+    pub alone: bool,
     /// Identifier of the call.
     pub call: String,
     /// Key and claim, if the request may not be repeated.
@@ -109,6 +115,7 @@
     /// Doors of this host.
     pub doors: Arc<Doors>,
     pub(crate) interface: Arc<dyn CallInterface>,
+    pub(crate) suspects: Arc<SuspectWatch>,
     pub(crate) attempts: Mutex<Attempts<HeldAnswer>>,
     /// Slots kept for calls whose bodies follow. Taken before a door's admission, never with it.
     pub(crate) reservations: Mutex<Reservations<Permit>>,
@@ -152,7 +159,11 @@
         };
         let result = match self.check_open() {
             Some(reason) => Err(self.refuse(reason)),
-            None => self.enter(&door, &call).await.map(|permit| self.keep(permit)),
+            // The place is taken when the request itself is here.
+            None => match self.place_for(&door, &call) {
+                Ok(_) => self.enter(&door, &call).await.map(|permit| self.keep(permit)),
+                Err(refused) => Err(refused),
+            },
         };
         Reserved { result, report: Some(door.report(self.incarnation)) }
     }
@@ -216,12 +227,13 @@
         door: &Arc<Door>,
         call: InboundCall,
     ) -> Result<Response<Body>, Refused> {
+        let place = self.place_for(door, &call)?;
         let Some((key, claimed)) = call.claimed.clone() else {
             let permit = match self.reserved(door, &call) {
                 Some(permit) => permit,
                 None => self.enter(door, &call).await?,
             };
-            return self.exchange(door, permit, call).await;
+            return self.exchange(door, permit, place, call).await;
         };
         self.attempts.lock().begin(&key, claimed).map_err(|reason| self.refuse(reason))?;
         let mut attempt = Attempt { inbound: self.clone(), key, claim: claimed.claim, sent: false };
@@ -230,12 +242,40 @@
         // then gets the answer in place of an unknown outcome.
         let (inbound, door) = (self.clone(), door.clone());
         let exchange = tokio::spawn(async move {
-            let result = inbound.exchange(&door, permit, call).await;
+            let result = inbound.exchange(&door, permit, place, call).await;
             attempt.settle(result).await
         });
         exchange.await.unwrap_or_else(|_| Err(self.refuse(Reason::BackendServerBroke)))
     }
 
+    /// Decides on a request by what is known of it; returns its place, where it runs alone.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is held back, or may not run alone here now.
+    fn place_for(
+        &self,
+        door: &Arc<Door>,
+        call: &InboundCall,
+    ) -> Result<Option<AlonePlace>, Refused> {
+        let must_be_alone = match self.suspects.judge(call.identity.request) {
+            Verdict::HeldBack(retry_after) => {
+                return Err(Refused { retry_after, ..self.refuse(Reason::HeldBack) });
+            }
+            Verdict::Alone => true,
+            Verdict::Clear | Verdict::Watched => false,
+        };
+        // Its sender knows less than this door, and would have sent it elsewhere.
+        if must_be_alone && !call.alone {
+            return Err(self.refuse(Reason::RunsAlone));
+        }
+        if !call.alone {
+            return Ok(None);
+        }
+        let place = AlonePlace::take(door).ok_or_else(|| self.refuse(Reason::RunsAlone))?;
+        Ok(Some(place))
+    }
+
     async fn enter(&self, door: &Arc<Door>, call: &InboundCall) -> Result<Permit, Refused> {
         let called = call.caller.as_ref().is_some_and(|c| door.is_called(&call.kind, c));
         let now = self.clock.now();
@@ -290,9 +330,15 @@
         &self,
         door: &Arc<Door>,
         permit: Permit,
+        place: Option<AlonePlace>,
         call: InboundCall,
     ) -> Result<Response<Body>, Refused> {
         let connection = self.connect(door, call.deadline).await?;
+        // It may have become known while it waited.
+        let place = match place {
+            Some(place) => Some(place),
+            None => self.place_for(door, &call)?,
+        };
         let Some(remaining) = call.deadline.remaining(self.clock.now()) else {
             return Err(self.refuse(Reason::DeadlineBeforeStart));
         };
@@ -308,14 +354,21 @@
         let label = ServerLabel { server: door.id.name.to_string() };
         self.metrics.dispatched.get_or_create(&label).inc();
         permit.sent();
+        let at_work = AtWork::begin(&self.suspects, door, call.identity, place);
         let sending = door.backend.send(connection, req);
         let res = match tokio::time::timeout(remaining, sending).await {
             Ok(Ok(res)) => res,
-            Ok(Err(NoAnswer::NotSent)) => return Err(self.refuse(Reason::BackendServerDown)),
-            Ok(Err(NoAnswer::Broke)) => return Err(self.refuse(Reason::BackendServerBroke)),
+            Ok(Err(NoAnswer::NotSent)) => {
+                at_work.proves_nothing();
+                return Err(self.refuse(Reason::BackendServerDown));
+            }
+            Ok(Err(NoAnswer::Broke)) => {
+                at_work.broke();
+                return Err(self.refuse(Reason::BackendServerBroke));
+            }
             Err(_) => return Err(self.refuse(Reason::DeadlinePassed)),
         };
-        self.check_answer(door, res, &call.call, permit)
+        self.check_answer(door, res, &call.call, permit, at_work)
     }
 
     async fn connect(&self, door: &Arc<Door>, deadline: Deadline) -> Result<Connection, Refused> {
@@ -324,6 +377,7 @@
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(_)) => {
                 door.on_check(Check::Failed);
+                self.suspects.look(door);
                 Err(self.refuse(Reason::BackendServerDown))
             }
             Err(_) => Err(self.refuse(Reason::DeadlineBeforeStart)),
@@ -337,6 +391,7 @@
         res: Response<Body>,
         call: &str,
         permit: Permit,
+        at_work: AtWork,
     ) -> Result<Response<Body>, Refused> {
         let (mut parts, body) = res.into_parts();
         if let Some(load) = self.interface.read_load(&parts) {
@@ -344,22 +399,31 @@
         }
         match self.interface.read_execution(&parts, call) {
             Execution::Ran => {}
-            Execution::NotRun => return Err(self.refuse(Reason::BackendServerRefused)),
+            Execution::NotRun => {
+                at_work.not_run();
+                return Err(self.refuse(Reason::BackendServerRefused));
+            }
             Execution::OtherInstance => {
                 // The instance is gone, and whoever took its address has not reported yet. Each further send would be
                 // turned away as well, and count among the arrivals that a request may have.
+                at_work.proves_nothing();
                 door.on_check(Check::Said(ServerState::Down));
                 return Err(self.refuse(Reason::OtherInstance));
             }
-            Execution::WrongRequest => return Err(self.refuse(Reason::WrongCall)),
+            Execution::WrongRequest => {
+                at_work.proves_nothing();
+                return Err(self.refuse(Reason::WrongCall));
+            }
         }
         headers::remove_hop_by_hop(&mut parts.headers);
         headers::remove_own(&mut parts.headers);
         self.interface.remove_answer_head(&mut parts.headers);
-        let body = Watched::watch(body, move |ending| {
-            if ending == Ending::Whole {
+        let body = Watched::watch(body, move |ending| match ending {
+            Ending::Whole => {
                 permit.answered();
+                at_work.answered();
             }
+            Ending::Broken => at_work.broke(),
         });
         let short = body.size_hint().upper().is_some_and(|bytes| bytes <= HELD_BYTES as u64);
         let body = if short { body } else { stall::limit(body, self.stall_limit) };
--- a/crates/cherrystream-daemon/src/lib.rs
+++ b/crates/cherrystream-daemon/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod refusal;
 pub mod request_log;
 pub mod role;
+pub mod suspects;
 pub mod sync;
--- a/crates/cherrystream-daemon/src/metrics.rs
+++ b/crates/cherrystream-daemon/src/metrics.rs
@@ -45,6 +45,13 @@
     pub server: String,
 }
 
+/// Label that names what follows for a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SuspectLabel {
+    /// What follows.
+    pub standing: &'static str,
+}
+
 /// Metrics of the daemon role.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -72,6 +79,8 @@
     pub connects: Counter,
     /// Connections made to other daemons.
     pub peer_connects: Counter,
+    /// Requests passed to other daemons.
+    pub peer_calls: Counter,
     /// Index of the revision in force.
     pub revision_index: Gauge,
     /// Term of the revision in force.
@@ -106,6 +115,14 @@
     pub quotas: QuotaMetrics,
     /// Reports of instances that were not taken, by what is wrong with them.
     pub bad_reports: Family<ReasonLabel, Counter>,
+    /// Ends of backend servers of this host while requests were at work.
+    pub ends_at_work: Counter,
+    /// Requests known for ends of backend servers, by what follows for them.
+    pub suspects: Family<SuspectLabel, Gauge>,
+    /// Requests that ran alone and were cleared by an answer at this host.
+    pub suspects_cleared: Counter,
+    /// Messages on such requests to other daemons, by their end.
+    pub suspect_messages: Family<ReasonLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -124,6 +141,7 @@
             dispatched: Family::default(),
             connects: Counter::default(),
             peer_connects: Counter::default(),
+            peer_calls: Counter::default(),
             revision_index: Gauge::default(),
             revision_term: Gauge::default(),
             unconfirmed: Gauge::default(),
@@ -141,6 +159,10 @@
             wrong_keys: Counter::default(),
             quotas: QuotaMetrics::default(),
             bad_reports: Family::default(),
+            ends_at_work: Counter::default(),
+            suspects: Family::default(),
+            suspects_cleared: Counter::default(),
+            suspect_messages: Family::default(),
         }
     }
 }
@@ -166,6 +188,7 @@
         r.register("dispatched", "Requests passed to a backend server", self.dispatched.clone());
         r.register("connects", "Connections made to backend servers", self.connects.clone());
         r.register("peer_connects", "Connections made to daemons", self.peer_connects.clone());
+        r.register("peer_calls", "Requests passed to other daemons", self.peer_calls.clone());
         r.register("revision_index", "Index of the revision held", self.revision_index.clone());
         r.register("revision_term", "Term of the revision held", self.revision_term.clone());
         r.register("unconfirmed", "1 while held from a peer only", self.unconfirmed.clone());
@@ -188,6 +211,20 @@
         self.quotas.register(r);
         let bad = self.bad_reports.clone();
         r.register("bad_reports", "Reports of instances that were not taken", bad);
+        let ends = self.ends_at_work.clone();
+        r.register("ends_at_work", "Ends of backend servers while requests were at work", ends);
+        let suspects = self.suspects.clone();
+        r.register("suspects", "Requests known for ends of backend servers", suspects);
+        let cleared = self.suspects_cleared.clone();
+        r.register("suspects_cleared", "Requests that ran alone and were answered here", cleared);
+        let messages = self.suspect_messages.clone();
+        r.register("suspect_messages", "Messages on such requests by their end", messages);
+    }
+
+    /// Counts a message on requests that end backend servers.
+    pub fn on_suspect_message(&self, answered: bool) {
+        let reason = if answered { "answered" } else { "no-answer" };
+        self.suspect_messages.get_or_create(&ReasonLabel { reason }).inc();
     }
 }
 
--- a/crates/cherrystream-daemon/src/outbound/choosing.rs
+++ b/crates/cherrystream-daemon/src/outbound/choosing.rs
@@ -31,7 +31,7 @@
     /// Fails with the final refusal when there is no backend server to go to.
     pub(super) fn choose_next(&self, call: &mut Call) -> Result<Next, Refused> {
         let now = self.clock.now();
-        if !call.stays_nearby(now) {
+        if call.alone || !call.stays_nearby(now) {
             return self.choose(call).map(Next::Server);
         }
         let table = self.table(&call.service).ok_or(Refused::new(Reason::NoSuchService))?;
@@ -63,6 +63,12 @@
         }
         let mut choosing = table.lock();
         let Choosing { table, rng, .. } = &mut *choosing;
+        if call.alone {
+            let server = table.choose_alone(now, call.identity.request);
+            let server = server.ok_or(Refused::new(Reason::NoBackendServer))?;
+            call.tried.push(server.name.clone());
+            return Ok(server);
+        }
         // When all were tried, the first may have a free slot by now.
         let avoided: Vec<_> = call.tried.iter().chain(&call.busy).cloned().collect();
         let kind = call.treatment.kind.as_str();
--- a/crates/cherrystream-daemon/src/outbound/hedging.rs
+++ b/crates/cherrystream-daemon/src/outbound/hedging.rs
@@ -6,6 +6,7 @@
 use crate::refusal::Refused;
 use cherrystream_core::choose::ServerId;
 use cherrystream_core::retry;
+use cherrystream_core::suspects::Verdict;
 use cherrystream_net::body::Body;
 use http::Response;
 
@@ -19,7 +20,9 @@
         held: &Held,
         server: &ServerId,
     ) -> Tried {
-        let Some(mut second) = call.fork_for_hedge() else {
+        // A second attempt of a request that ends backend servers ends one more.
+        let is_clear = self.suspects.judge(call.identity.request) == Verdict::Clear;
+        let Some(mut second) = call.fork_for_hedge().filter(|_| is_clear) else {
             return self.attempt(call, held, server, None).await;
         };
         let wait = second.times.and_then(|times| times.hedge_after).unwrap_or_default();
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -17,6 +17,7 @@
 use crate::quotas::Quotas;
 use crate::refusal::Refused;
 use crate::request_log::{RequestLog, RequestSummary};
+use crate::suspects::SuspectWatch;
 use crate::sync::Newer;
 use cherrystream_core::choose::{self, Distance, ServerId, Table};
 use cherrystream_core::first_asked::FirstAsked;
@@ -24,7 +25,7 @@
 use cherrystream_core::retry::{self, Failed, RetryBudget};
 use cherrystream_core::routes::RouteIndex;
 use cherrystream_core::shared;
-use cherrystream_core::suspects::identity::FingerprintKey;
+use cherrystream_core::suspects::{FingerprintKey, Verdict};
 use cherrystream_net::body::{self, Body};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{CallInterface, RefusalHead};
@@ -85,6 +86,7 @@
     pub(crate) inbound: Arc<Inbound>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) quotas: Arc<Quotas>,
+    pub(crate) suspects: Arc<SuspectWatch>,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) newer: Arc<Newer>,
     pub(crate) retries: RetryOptions,
@@ -182,6 +184,7 @@
     async fn run(&self, call: &mut Call, held: &Held) -> Tried {
         loop {
             call.check_key(&self.routes())?;
+            self.check_suspect(call)?;
             let server = match self.choose_next(call)? {
                 Next::Server(server) => server,
                 Next::Later(wait) => {
@@ -208,14 +211,32 @@
         }
     }
 
+    /// Decides on a request by what is known of it: each attempt may end one more backend server.
+    fn check_suspect(&self, call: &mut Call) -> Result<(), Refused> {
+        match self.suspects.judge(call.identity.request) {
+            Verdict::Clear | Verdict::Watched => {}
+            Verdict::Alone => call.run_alone(),
+            Verdict::HeldBack(retry_after) => {
+                return Err(Refused { retry_after, ..Refused::new(Reason::HeldBack) });
+            }
+        }
+        Ok(())
+    }
+
     /// Returns when another attempt may be made; fails with the final refusal.
     fn weigh_retry(&self, call: &mut Call, refused: Refused) -> Result<(), Refused> {
+        // The door knows more of the request than this daemon: there is one backend server for it.
+        if refused.reason == Reason::RunsAlone && !call.alone {
+            call.run_alone();
+            return Ok(());
+        }
         call.attempts += 1;
         call.arrivals += u32::from(refused.reason.reached_server());
         if refused.reason.outcome() == Outcome::Unknown {
             call.broke.get_or_insert(refused.reason);
         }
-        if self.phases.now() == Phase::Ending {
+        let may_have_ended_one = call.alone && refused.reason.outcome() == Outcome::Unknown;
+        if may_have_ended_one || self.phases.now() == Phase::Ending {
             return Err(refused);
         }
         let failed = Failed {
--- a/crates/cherrystream-daemon/src/outbound/once.rs
+++ b/crates/cherrystream-daemon/src/outbound/once.rs
@@ -68,6 +68,12 @@
                 }
                 return Err(refused);
             }
+            if let Err(refused) = self.check_suspect(call) {
+                if let Some(holder) = proved {
+                    self.release(call, &key, holder.claim);
+                }
+                return Err(refused);
+            }
             let server = self.choose(call)?;
             let req = self.claim_request(call, &key, held, &server, proved.take())?;
             match self.claim(call, &req).await? {
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -78,6 +78,8 @@
     pub(super) charge: Option<Charge>,
     /// What makes it the same request when it comes again.
     pub(super) identity: Identity,
+    /// Whether it runs alone.
+    pub(super) alone: bool,
 }
 
 /// A request's membership in a workspace.
@@ -92,6 +94,12 @@
 }
 
 impl Call {
+    /// Notes that the request runs alone: there is one backend server for it, which it takes as it is.
+    pub(super) fn run_alone(&mut self) {
+        self.alone = true;
+        self.selective_offers = 0;
+    }
+
     /// Returns whether the request is let in only where it is served well.
     pub(super) fn is_selective(&self) -> bool {
         self.selective_offers > 0
@@ -133,6 +141,7 @@
             member: self.member.clone(),
             charge: None,
             identity: self.identity,
+            alone: self.alone,
         })
     }
 
@@ -291,6 +300,7 @@
         member,
         charge,
         identity,
+        alone: false,
     })
 }
 
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -131,6 +131,8 @@
             selective: call.is_selective(),
             good_for: self.good_for(call),
             reservation: admitted.reservation,
+            identity: call.identity,
+            alone: call.alone,
             call: call.id.clone(),
             claimed: claimed.map(|(claimed, key)| (key, claimed)),
             req,
@@ -152,6 +154,7 @@
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
         let line = self.line_to(call, &record.peer_address).await?;
+        self.metrics.peer_calls.inc();
         let res = line.send(req).await.map_err(|e| {
             Refused::new(match e {
                 NoAnswer::NotSent => Reason::PeerUnreachable,
@@ -218,6 +221,8 @@
             selective: call.is_selective(),
             good_us: self.good_for(call).map(units::micros),
             reservation: admitted.reservation,
+            request: hop::write_fingerprint(call.identity.request),
+            alone: call.alone,
         };
         hop::write_call(map, op, &aim, &head);
         if let Some(Claimed { claim, index, incarnation }) = admitted.claimed {
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -7,10 +7,12 @@
 use crate::metrics::Metrics;
 use crate::quotas::{self, Quotas};
 use crate::refusal::{self, Refused};
+use crate::suspects::{self, SuspectWatch};
 use cherrystream_core::attempts::{Claimed, RequestKey};
 use cherrystream_core::deadline::Deadline;
 use cherrystream_core::distribution::{Encoded, Library};
 use cherrystream_core::reasons::Reason;
+use cherrystream_core::suspects::{CallerMark, Fingerprint, FingerprintKey, Identity};
 use cherrystream_core::units::{self, Dotted, Revision};
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::chunks;
@@ -18,7 +20,7 @@
 use cherrystream_net::key::{self, Secret};
 use cherrystream_net::observe;
 use cherrystream_schema::messages::{
-    AttemptState, ChunkRequest, FenceRequest, Offer, StateId, Update,
+    AttemptState, ChunkRequest, FenceRequest, LiftReply, Offer, StateId, Update,
 };
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -37,10 +39,14 @@
     pub inbound: Arc<Inbound>,
     /// Quotas.
     pub quotas: Arc<Quotas>,
+    /// Requests that end backend servers.
+    pub suspects: Arc<SuspectWatch>,
     /// Shared state held.
     pub held: Arc<HeldCell>,
     /// Encoded updates that other daemons may fetch here.
     pub library: Arc<Mutex<Library>>,
+    /// Key of requests' fingerprints.
+    pub fingerprints: FingerprintKey,
     /// Key of the system's own processes.
     pub key: Option<Secret>,
     /// The clock.
@@ -77,6 +83,9 @@
             Some(Op::Fetch) => self.fetch(req.headers()),
             Some(Op::Chunk) => self.chunk(req.headers()),
             Some(Op::Quota) => self.quota(req).await,
+            Some(Op::Suspects) => self.suspects(req).await,
+            Some(Op::SuspectList) => json(&self.suspects.list()),
+            Some(Op::SuspectLift) => self.lift(req).await,
             None => observe::plain(StatusCode::BAD_REQUEST, "this port is for daemons only\n"),
         };
         headers::set(res.headers_mut(), headers::REVISION, Dotted(self.held.revision()));
@@ -110,6 +119,7 @@
         let kind = aim.kind.into();
         let caller = aim.caller.map(Into::into);
         let workspace = aim.workspace.map(Into::into);
+        let mark = CallerMark::new(&self.fingerprints, aim.workspace, aim.caller);
         let claimed = read_claim(map, &service);
         headers::remove_own(&mut parts.headers);
         headers::set(&mut parts.headers, headers::ALLOWANCE, head.allowance);
@@ -132,6 +142,8 @@
             selective: head.selective,
             good_for: head.good_us.map(Duration::from_micros),
             reservation: head.reservation,
+            identity: Identity { request: hop::read_fingerprint(head.request), caller: mark },
+            alone: head.alone,
             call: head.call,
             claimed,
             req,
@@ -160,6 +172,24 @@
         }
     }
 
+    /// Answers a message on requests that end backend servers.
+    async fn suspects(&self, req: Request<Incoming>) -> Response<Body> {
+        let message = suspects::read_bytes(body::incoming(req.into_body())).await;
+        match message.and_then(|message| self.suspects.answer(&message)) {
+            Some(answer) => Response::new(body::full(answer)),
+            None => refusal::response(Refused::new(Reason::BadRequest)),
+        }
+    }
+
+    /// Clears the request whose mark is asked for.
+    async fn lift(&self, req: Request<Incoming>) -> Response<Body> {
+        let mark = read_question::<String>(req).await;
+        match mark.and_then(|mark| Fingerprint::read(&mark)) {
+            Some(request) => json(&LiftReply { lifted: self.suspects.lift(request) }),
+            None => refusal::response(Refused::new(Reason::BadRequest)),
+        }
+    }
+
     /// Offers the state that this daemon holds, to one that holds an older one.
     fn fetch(&self, headers: &HeaderMap) -> Response<Body> {
         let asker = headers::text(headers, &headers::REVISION).and_then(units::read_revision);
@@ -206,6 +236,10 @@
     headers::json(res.headers(), &headers::FATE).unwrap_or(AttemptState::Unknown)
 }
 
+fn json(value: &impl Serialize) -> Response<Body> {
+    Response::new(body::full(serde_json::to_vec(value).unwrap_or_default()))
+}
+
 fn read_claim(map: &HeaderMap, service: &Arc<str>) -> Option<(RequestKey, Claimed)> {
     let header: ClaimHeader = headers::json(map, &headers::CLAIM)?;
     let key = headers::text(map, &headers::IDEMPOTENCY_KEY)?.into();
--- a/crates/cherrystream-daemon/src/refusal.rs
+++ b/crates/cherrystream-daemon/src/refusal.rs
@@ -62,6 +62,10 @@
         Reason::NoSuchService => "name a service in Cherrystream-Service or the host name",
         Reason::BadRequest => "correct the request",
         Reason::UnknownKey => "send a key of a workspace, as `Authorization: Bearer KEY`",
+        Reason::HeldBack => {
+            "backend servers ended while they ran it; mend the service or the request, or lift it"
+        }
+        Reason::RunsAlone => "it was not run: another one like it is on trial; send it again later",
         Reason::OverQuota => "send it again after the time in Retry-After, or raise the quota",
         Reason::KeyMissing => "send an Idempotency-Key, a new one for each new request",
         Reason::KeyTooOld => "ask what became of the first request; send no new one by itself",
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -13,12 +13,13 @@
 use crate::peer_server::PeerServer;
 use crate::quotas::{self, Quotas};
 use crate::request_log::RequestLog;
+use crate::suspects::{self, SuspectWatch};
 use crate::sync::{Downloads, Newer, Sync, Tools};
 use cherrystream_core::attempts::{self, Attempts};
 use cherrystream_core::distribution::Library;
 use cherrystream_core::replica_choice::ReplicaChoice;
 use cherrystream_core::shared;
-use cherrystream_core::suspects::identity::FingerprintKey;
+use cherrystream_core::suspects::FingerprintKey;
 use cherrystream_core::units::Revision;
 use cherrystream_net::body::Body;
 use cherrystream_net::clock::Clock;
@@ -81,13 +82,41 @@
         let caller_listener = serve::listen(&settings.caller_address).await?;
         let peer_listener = serve::listen(&settings.peer_address).await?;
         let record = record(all, settings, &peer_listener);
+        let fingerprints = FingerprintKey::new(cx.key.as_ref().map(Secret::expose));
         let clock = Clock::default();
         let held = Arc::new(HeldCell::default());
         let peers = Arc::new(Peers::new(cx.metrics.clone()));
         let newer = Arc::new(Newer::default());
         let routes_only = all.interface == Some(InterfaceKind::Platform);
-        let inbound = Arc::new(inbound(&record, settings, &cx, &held, clock));
-        let doors = inbound.doors.clone();
+        let doors = Arc::new(doors(&record, settings, &cx, clock));
+        let suspects = Arc::new(SuspectWatch::new(suspects::Tools {
+            host: record.host.as_str().into(),
+            doors: doors.clone(),
+            held: held.clone(),
+            peers: peers.clone(),
+            key: cx.key.clone(),
+            phases: cx.phases.clone(),
+            clock,
+            metrics: cx.metrics.clone(),
+        }));
+        tokio::spawn(suspects.clone().run());
+        let inbound = Arc::new(Inbound {
+            incarnation: record.incarnation,
+            doors: doors.clone(),
+            interface: cx.interface.clone(),
+            suspects: suspects.clone(),
+            attempts: Mutex::new(Attempts::new(attempts::Options {
+                incarnation: record.incarnation,
+                ..attempts::Options::default()
+            })),
+            reservations: Mutex::default(),
+            held: held.clone(),
+            host: record.host.as_str().into(),
+            phases: cx.phases.clone(),
+            stall_limit: Duration::from_millis(settings.stall_limit_ms),
+            clock,
+            metrics: cx.metrics.clone(),
+        });
         let instances = Arc::new(Instances::new(doors, cx.interface.clone()));
         let quotas = Arc::new(Quotas::new(
             &record,
@@ -110,6 +139,7 @@
             inbound: inbound.clone(),
             peers: peers.clone(),
             quotas: quotas.clone(),
+            suspects: suspects.clone(),
             ledger: Arc::new(Ledger::new(&control, cx.key.clone())),
             newer: newer.clone(),
             retries: RetryOptions {
@@ -125,7 +155,7 @@
             routes: RwLock::default(),
             first_asked: Mutex::default(),
             key: cx.key.clone(),
-            fingerprints: FingerprintKey::new(cx.key.as_ref().map(Secret::expose)),
+            fingerprints,
             phases: cx.phases.clone(),
             clock,
             metrics: cx.metrics.clone(),
@@ -180,8 +210,10 @@
         let peer_server = PeerServer {
             inbound: inbound.clone(),
             quotas,
+            suspects,
             held: held.clone(),
             library,
+            fingerprints,
             key: cx.key,
             clock,
             metrics: cx.metrics,
@@ -276,41 +308,16 @@
     }
 }
 
-fn inbound(
-    record: &HostRecord,
-    settings: &DaemonSettings,
-    cx: &Context,
-    held: &Arc<HeldCell>,
-    clock: Clock,
-) -> Inbound {
-    let host: Arc<str> = record.host.as_str().into();
-    let incarnation = record.incarnation;
-    let opts = attempts::Options { incarnation, ..attempts::Options::default() };
-    Inbound {
-        incarnation,
-        doors: Arc::new(Doors::new(
-            host.clone(),
-            DoorOptions {
-                queue_per_slot: settings.queue_per_slot,
-                slot_share: settings.slot_share,
-                room: settings.room.unwrap_or(RoomKind::Fixed),
-                cold_over: settings.cold_over,
-                cold_slack: settings.cold_slack,
-            },
-            clock,
-            cx.interface.id_header(),
-            cx.metrics.clone(),
-        )),
-        interface: cx.interface.clone(),
-        attempts: Mutex::new(Attempts::new(opts)),
-        reservations: Mutex::default(),
-        held: held.clone(),
-        host,
-        phases: cx.phases.clone(),
-        stall_limit: Duration::from_millis(settings.stall_limit_ms),
-        clock,
-        metrics: cx.metrics.clone(),
-    }
+fn doors(record: &HostRecord, settings: &DaemonSettings, cx: &Context, clock: Clock) -> Doors {
+    let opts = DoorOptions {
+        queue_per_slot: settings.queue_per_slot,
+        slot_share: settings.slot_share,
+        room: settings.room.unwrap_or(RoomKind::Fixed),
+        cold_over: settings.cold_over,
+        cold_slack: settings.cold_slack,
+    };
+    let host = record.host.as_str().into();
+    Doors::new(host, opts, clock, cx.interface.id_header(), cx.metrics.clone())
 }
 
 /// Puts each revision in force that is taken.
--- /dev/null
+++ b/crates/cherrystream-daemon/src/suspects/at_work.rs
@@ -0,0 +1,158 @@
+//! Requests at work at a backend server, and the search for the proof that it has ended.
+
+use super::SuspectWatch;
+use crate::door::Door;
+use cherrystream_core::suspects::{EndId, Identity, Sent};
+use cherrystream_core::units::Timestamp;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Times after a broken connection at which the server is asked for another one. A process that ends closes all its connections
+/// within milliseconds, and its listener with them; the second look is for a host that is short of processor time.
+const LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(100)];
+/// Longest wait for a connection: one that is not refused at once proves nothing.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// Time between looks for another run of the server.
+const RUN_EVERY: Duration = Duration::from_millis(100);
+
+/// The place of the one request that may run alone at a door; dropping it frees it.
+pub struct AlonePlace {
+    door: Arc<Door>,
+}
+
+impl AlonePlace {
+    /// Takes the place, if it is free.
+    pub fn take(door: &Arc<Door>) -> Option<AlonePlace> {
+        let is_free = door.ends().begin_alone();
+        is_free.then(|| AlonePlace { door: door.clone() })
+    }
+}
+
+impl Drop for AlonePlace {
+    fn drop(&mut self) {
+        self.door.ends().end_alone();
+    }
+}
+
+/// A request at work, from its first byte. Dropped without a word, it counts as one whose caller has left.
+pub struct AtWork {
+    watch: Arc<SuspectWatch>,
+    door: Arc<Door>,
+    sent: Sent,
+    sent_at: Timestamp,
+    is_settled: bool,
+    _place: Option<AlonePlace>,
+}
+
+impl AtWork {
+    /// Notes that a request leaves for the backend server.
+    pub fn begin(
+        watch: &Arc<SuspectWatch>,
+        door: &Arc<Door>,
+        identity: Identity,
+        place: Option<AlonePlace>,
+    ) -> AtWork {
+        AtWork {
+            watch: watch.clone(),
+            door: door.clone(),
+            sent: Sent { identity, alone: place.is_some() },
+            sent_at: watch.tools.clock.now(),
+            is_settled: false,
+            _place: place,
+        }
+    }
+
+    /// Notes that it was answered in full.
+    pub fn answered(mut self) {
+        self.is_settled = true;
+        self.door.ends().on_answer(self.sent_at);
+        self.watch.on_answer(&self.door, self.sent.identity.request);
+    }
+
+    /// Notes that the server did not run it; so it is there, or another run of it is.
+    pub fn not_run(mut self) {
+        self.is_settled = true;
+        self.door.ends().on_answer(self.sent_at);
+    }
+
+    /// Notes that nothing of it was sent, or that what came was no answer to it.
+    pub fn proves_nothing(mut self) {
+        self.is_settled = true;
+    }
+
+    /// Notes that its connection broke.
+    pub fn broke(mut self) {
+        self.is_settled = true;
+        let now = self.watch.tools.clock.now();
+        let ended = self.door.ends().on_broke(now, self.sent);
+        match ended {
+            Some(ended) if !self.watch.is_planned(&self.door) => {
+                self.watch.on_end(&self.door, &ended);
+            }
+            Some(_) => {}
+            None => self.watch.look(&self.door),
+        }
+    }
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.door.ends().on_left(self.watch.tools.clock.now(), self.sent);
+        }
+    }
+}
+
+impl SuspectWatch {
+    /// Looks for the proof that a door's backend server has ended, if connections have broken there and nobody looks yet.
+    pub fn look(self: &Arc<Self>, door: &Arc<Door>) {
+        if door.ends().begin_look(self.tools.clock.now()) {
+            let (watch, door) = (self.clone(), door.clone());
+            tokio::spawn(async move {
+                if watch.finds_proof(&door).await {
+                    watch.on_proof(&door);
+                }
+                door.ends().end_look();
+            });
+        }
+    }
+
+    async fn finds_proof(&self, door: &Arc<Door>) -> bool {
+        for wait in LOOKS {
+            tokio::time::sleep(wait).await;
+            if !door.ends().wants_proof(self.tools.clock.now()) {
+                return false;
+            }
+            let refused = tokio::time::timeout(CONNECT_WITHIN, door.backend.refuses()).await;
+            if refused.unwrap_or_default() {
+                return true;
+            }
+        }
+        while door.ends().wants_proof(self.tools.clock.now()) {
+            if self.is_followed(door) {
+                return true;
+            }
+            tokio::time::sleep(RUN_EVERY).await;
+        }
+        false
+    }
+
+    /// Returns whether another run has taken the place of a backend server that reported itself.
+    fn is_followed(&self, door: &Arc<Door>) -> bool {
+        let listed = self.tools.doors.listed().iter().any(|known| Arc::ptr_eq(known, door));
+        let instance = self.tools.doors.instance();
+        !listed && instance.is_some_and(|now| !Arc::ptr_eq(&now, door))
+    }
+
+    fn on_proof(self: &Arc<Self>, door: &Arc<Door>) {
+        let now = self.tools.clock.now();
+        if self.is_planned(door) {
+            door.ends().on_planned_end();
+            return;
+        }
+        let ended = door.ends().on_ended(now, EndId(rand::random()));
+        if let Some(ended) = ended {
+            self.on_end(door, &ended);
+        }
+    }
+}
--- a/crates/cherrystream-daemon/tests/hop.rs
+++ b/crates/cherrystream-daemon/tests/hop.rs
@@ -2,6 +2,7 @@
 
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::reservations::Reservation;
+use cherrystream_core::suspects::Fingerprint;
 use cherrystream_daemon::headers::{self, Op};
 use cherrystream_daemon::hop::{self, Aim, CallHead};
 use cherrystream_daemon::refusal::Refused;
@@ -44,6 +45,8 @@
         selective: true,
         good_us: Some(400_000),
         reservation: None,
+        request: hop::write_fingerprint(Fingerprint(u64::MAX - 7)),
+        alone: true,
     };
     hop::write_call(&mut map, Op::Call, &aim, &head);
     let (read_aim, read_head) = hop::read_call(&map).unwrap();
@@ -103,3 +106,18 @@
     let refused = hop::read_refusal(res.headers(), &head).unwrap();
     assert_eq!(refused.reason, Reason::PeerBroke);
 }
+
+#[test]
+fn identifiers_of_any_form_are_read_as_they_were_written() {
+    for id in [
+        "9c41d07be2a35f68",
+        "9C41D07BE2A35F68",
+        "",
+        "+c41d07be2a35f68",
+        "call-1",
+        "00000000000000001",
+    ] {
+        let map = hop::write_answer(id.into(), Ok(http::Response::new(body::empty())), None);
+        assert_eq!(hop::read_answer(map.headers()).unwrap().call, id);
+    }
+}
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use prometheus_client::metrics::counter::Counter;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -72,6 +73,12 @@
         self.connect().await
     }
 
+    /// Returns whether the address refuses connections, which shows that nobody listens there. Any other failure shows nothing.
+    pub async fn refuses(&self) -> bool {
+        let connected = TcpStream::connect(&self.address).await;
+        connected.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+    }
+
     async fn connect(&self) -> Result<Connection, NoAnswer> {
         let stream = TcpStream::connect(&self.address).await.map_err(|_| NoAnswer::NotSent)?;
         let _ = stream.set_nodelay(true);
--- a/crates/cherrystream/tests/processes/path.rs
+++ b/crates/cherrystream/tests/processes/path.rs
@@ -52,7 +52,9 @@
         assert_eq!((work.bytes, work.hash), (5, backend::hash_of(b"hello")));
     }
     assert!(pair.a.metric("cherrystream_peer_connects_total").await >= 1.0);
-    assert_eq!(pair.b.metric("cherrystream_peer_connects_total").await, 0.0);
+    // Daemons also connect to tell each other what they know, so the calls themselves are counted.
+    assert!(pair.a.metric("cherrystream_peer_calls_total").await >= 1.0);
+    assert_eq!(pair.b.metric("cherrystream_peer_calls_total").await, 0.0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
