An end is also proved where connections are taken and closed; the soak learns a request that ends servers

Cause: a refused connection was the only proof at once. Now a connection that is closed at once at each of three looks proves it as well, and neither counts while a request is still at work that was so before the break: servers that are full reset what is too much (ends::a_server_that_still_works_on_what_was_sent_before_has_not_ended). Why this holds: a process that ends takes all its connections with it, and a live one keeps an idle connection for seconds.

--- a/crates/cherrystream-core/src/suspects/ends.rs
+++ b/crates/cherrystream-core/src/suspects/ends.rs
@@ -1,11 +1,14 @@
 //! Finds out at one door that its backend server has ended, and which requests were at work there.
 //!
-//! A broken connection alone proves nothing: it may have been reset, or the answer was broken off. An end is proved by a refused
-//! connection or by another run of the backend server, soon after connections broke.
+//! A broken connection alone proves nothing: it may have been reset, or the answer was broken off. Nor does it when the server takes no
+//! other one at that moment: some are full and reset all that is too much. An end is proved when nothing that was at work before is at
+//! work any more, and soon after connections broke another one is refused, or closed at once time and again, or another run of the
+//! server is heard of.
 
 use super::identity::Identity;
 use super::record::EndId;
 use crate::units::Timestamp;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time for which a broken connection may still be explained by an end: within it another run of the server is heard of. Measured,
@@ -48,11 +51,35 @@
     unexplained: Vec<Unexplained>,
     /// The last proved end, until an answer shows that the server is there again.
     last: Option<(Timestamp, EndId)>,
+    /// When each request at work was sent.
+    at_work: BTreeMap<Ticket, Timestamp>,
+    next: Ticket,
     alone: bool,
     looking: bool,
 }
 
+/// Names a request at work at a door.
+pub type Ticket = u64;
+
 impl Ends {
+    /// Notes that a request is sent.
+    pub fn begin(&mut self, now: Timestamp) -> Ticket {
+        self.next += 1;
+        self.at_work.insert(self.next, now);
+        self.next
+    }
+
+    /// Notes that a request is not at work any more, whatever became of it.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.at_work.remove(&ticket);
+    }
+
+    /// Returns whether a request is still at work that was so when connections broke: the server is there.
+    pub fn has_survivor(&self) -> bool {
+        let broke = self.unexplained.iter().map(|broken| broken.since).min();
+        broke.is_some_and(|broke| self.at_work.values().any(|sent_at| *sent_at < broke))
+    }
+
     /// Returns whether somebody has to look for the proof of an end, and nobody does.
     pub fn begin_look(&mut self, now: Timestamp) -> bool {
         self.wants_proof(now) && !std::mem::replace(&mut self.looking, true)
--- a/crates/cherrystream-core/tests/suspects/ends.rs
+++ b/crates/cherrystream-core/tests/suspects/ends.rs
@@ -76,6 +76,22 @@
     assert_eq!(ends.on_ended(ms(601), EndId(10)), Some(ended(10, &[sent(1, false)])));
 }
 
+/// Load: a server is full and resets the connections that are too many, while it works on others.
+#[test]
+fn a_server_that_still_works_on_what_was_sent_before_has_not_ended() {
+    let mut ends = Ends::default();
+    let earlier = ends.begin(ms(5));
+    let reset = ends.begin(ms(8));
+    ends.leave(reset);
+    ends.on_broke(ms(10), sent(1, false));
+    let later = ends.begin(ms(11));
+    assert!(ends.has_survivor());
+    ends.leave(earlier);
+    // One that was sent afterwards shows nothing yet.
+    assert!(!ends.has_survivor());
+    ends.leave(later);
+}
+
 #[test]
 fn one_request_runs_alone_at_a_door_at_a_time() {
     let mut ends = Ends::default();
--- a/crates/cherrystream-daemon/src/suspects/at_work.rs
+++ b/crates/cherrystream-daemon/src/suspects/at_work.rs
@@ -2,16 +2,17 @@
 
 use super::SuspectWatch;
 use crate::door::Door;
+use cherrystream_core::suspects::ends::Ticket;
 use cherrystream_core::suspects::{EndId, Identity, Sent};
 use cherrystream_core::units::Timestamp;
+use cherrystream_net::pool::Probe;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Times after a broken connection at which the server is asked for another one. A process that ends closes all its connections
-/// within milliseconds, and its listener with them; the second look is for a host that is short of processor time.
-const LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(100)];
-/// Longest wait for a connection: one that is not refused at once proves nothing.
-const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// Times between the looks whether the server takes a connection. A process that ends closes all its connections, and its listener
+/// with them, within milliseconds; the last look is for a host that is short of processor time.
+const LOOKS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(10), Duration::from_millis(100)];
 /// Time between looks for another run of the server.
 const RUN_EVERY: Duration = Duration::from_millis(100);
 
@@ -40,6 +41,7 @@
     door: Arc<Door>,
     sent: Sent,
     sent_at: Timestamp,
+    ticket: Ticket,
     is_settled: bool,
     _place: Option<AlonePlace>,
 }
@@ -52,11 +54,13 @@
         identity: Identity,
         place: Option<AlonePlace>,
     ) -> AtWork {
+        let sent_at = watch.tools.clock.now();
         AtWork {
             watch: watch.clone(),
             door: door.clone(),
             sent: Sent { identity, alone: place.is_some() },
-            sent_at: watch.tools.clock.now(),
+            sent_at,
+            ticket: door.ends().begin(sent_at),
             is_settled: false,
             _place: place,
         }
@@ -84,6 +88,7 @@
     pub fn broke(mut self) {
         self.is_settled = true;
         let now = self.watch.tools.clock.now();
+        self.door.ends().leave(self.ticket);
         let ended = self.door.ends().on_broke(now, self.sent);
         match ended {
             Some(ended) if !self.watch.is_planned(&self.door) => {
@@ -97,6 +102,7 @@
 
 impl Drop for AtWork {
     fn drop(&mut self) {
+        self.door.ends().leave(self.ticket);
         if !self.is_settled {
             self.door.ends().on_left(self.watch.tools.clock.now(), self.sent);
         }
@@ -118,16 +124,22 @@
     }
 
     async fn finds_proof(&self, door: &Arc<Door>) -> bool {
+        let mut is_kept = false;
         for wait in LOOKS {
             tokio::time::sleep(wait).await;
             if !door.ends().wants_proof(self.tools.clock.now()) {
                 return false;
             }
-            let refused = tokio::time::timeout(CONNECT_WITHIN, door.backend.refuses()).await;
-            if refused.unwrap_or_default() {
+            let fate = door.backend.probe().await;
+            is_kept |= fate == Probe::Kept;
+            if fate == Probe::Refused && !door.ends().has_survivor() {
                 return true;
             }
         }
+        // Whoever passes connections on for the server takes them while it is down, and closes them.
+        if !is_kept && !door.ends().has_survivor() {
+            return true;
+        }
         while door.ends().wants_proof(self.tools.clock.now()) {
             if self.is_followed(door) {
                 return true;
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -11,6 +11,7 @@
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// Kept connections at most.
@@ -29,6 +30,23 @@
     Broke,
 }
 
+/// What becomes of a connection on which nothing is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// Nobody listens there.
+    Refused,
+    /// It was closed at once.
+    Closed,
+    /// It was kept, or nothing is known of it.
+    Kept,
+}
+
+/// Longest wait for a connection that is only asked for: one that is not refused at once shows nothing.
+const PROBE_CONNECTS_WITHIN: Duration = Duration::from_millis(250);
+/// Time for which a connection is watched that is only asked for: whoever passes connections on for a server that is down closes them
+/// within milliseconds.
+const PROBE_KEPT_FOR: Duration = Duration::from_millis(20);
+
 struct Idle {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
@@ -73,10 +91,19 @@
         self.connect().await
     }
 
-    /// Returns whether the address refuses connections, which shows that nobody listens there. Any other failure shows nothing.
-    pub async fn refuses(&self) -> bool {
-        let connected = TcpStream::connect(&self.address).await;
-        connected.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+    /// Asks for a connection and sends nothing on it; returns what becomes of it.
+    pub async fn probe(&self) -> Probe {
+        let connecting = TcpStream::connect(&self.address);
+        let mut stream = match tokio::time::timeout(PROBE_CONNECTS_WITHIN, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Probe::Refused,
+            // A host that says nothing shows nothing.
+            Ok(Err(_)) | Err(_) => return Probe::Kept,
+        };
+        match tokio::time::timeout(PROBE_KEPT_FOR, stream.read_u8()).await {
+            Ok(Err(_)) => Probe::Closed,
+            Ok(Ok(_)) | Err(_) => Probe::Kept,
+        }
     }
 
     async fn connect(&self) -> Result<Connection, NoAnswer> {
--- a/crates/cherrystream-standin/src/backend.rs
+++ b/crates/cherrystream-standin/src/backend.rs
@@ -30,7 +30,7 @@
 /// Time for which a request runs that ends the process.
 const ENDS_AFTER: Duration = Duration::from_millis(30);
 /// Exit code of a process that a request has ended.
-const ENDED: i32 = 70;
+pub const ENDED: i32 = 70;
 /// Header with the identifier of the call.
 const CALL: &str = "cherrystream-call";
 /// Header with the time that remains.
--- a/crates/cherrystream/tests/soak/main.rs
+++ b/crates/cherrystream/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod support;
 
 mod callers;
+mod deadly;
 mod keys;
 mod operators;
 #[path = "../../../../platform/tests/support/orders.rs"]
@@ -159,8 +160,20 @@
         let seed = (seed << 8) + operator;
         operating.spawn(operators::operate(apis.clone(), seed, stop.clone()));
     }
+    let is_deadly = keyed && deadly::is_in(seed);
+    let stop_deadly = Arc::new(AtomicBool::new(false));
+    let calling_deadly = is_deadly.then(|| {
+        world.begin_deadly();
+        tokio::spawn(deadly::call(watched.clone(), seed, stop_deadly.clone()))
+    });
     strike(&mut world, &plan).await;
     let mut broken = Vec::new();
+    if let Some(calling) = calling_deadly {
+        broken.extend(deadly::settle(&mut world).await);
+        stop_deadly.store(true, Ordering::Relaxed);
+        calling.await.expect("the caller of the deadly request has not panicked");
+        deadly::restore(&mut world).await;
+    }
     let recovered = recover(&world, &mut broken).await;
     stop_tables.store(true, Ordering::Relaxed);
     stop_keys.store(true, Ordering::Relaxed);
@@ -227,6 +240,7 @@
         end_until(world, &mut ends, start, timed.at).await;
         tokio::time::sleep_until((start + timed.at).into()).await;
         world.settle_stops().await;
+        world.settle_servers().await;
         println!("{:?}: begins: {:?} for {:?}", start.elapsed(), timed.fault, timed.lasts);
         world.begin(&timed.fault).await;
         ends.push((timed.at + timed.lasts, timed));
--- a/crates/cherrystream/tests/soak/world.rs
+++ b/crates/cherrystream/tests/soak/world.rs
@@ -1,5 +1,6 @@
 //! The processes of one run, the relays between them, and how faults strike them.
 
+use crate::deadly;
 use crate::keys;
 use crate::plan::{Fault, Hit, Hosts, Link, Size};
 use crate::support::client;
@@ -8,6 +9,7 @@
 use crate::support::site::{Daemon, DaemonOptions, Server, Site};
 use crate::tables::Operator;
 use crate::watchers::Watched;
+use cherrystream_standin::backend;
 use nix::sys::signal::Signal;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -48,6 +50,9 @@
     Control(u64),
 }
 
+/// Time after which a backend server is back that a request has ended.
+const BACK_AFTER: Duration = Duration::from_millis(400);
+
 /// Times in which rough faults last.
 #[derive(Debug, Default)]
 struct Rough {
@@ -93,6 +98,10 @@
     /// Times from a daemon's planned stop to its next start.
     pub stops: Vec<Struck>,
     rough: Rough,
+    /// Backend servers that a request has ended.
+    pub deadly_ends: usize,
+    /// Backend servers that are down by themselves, and since when.
+    down: BTreeMap<usize, Instant>,
     /// Ends of processes that nobody asked for, and planned ends that failed.
     pub bad_ends: Vec<String>,
 }
@@ -115,6 +124,8 @@
             struck: Vec::new(),
             stops: Vec::new(),
             rough: Rough::default(),
+            deadly_ends: 0,
+            down: BTreeMap::new(),
             bad_ends: Vec::new(),
         };
         world.start_controls(size).await;
@@ -185,7 +196,10 @@
         let domain = ["a", "b", "c"][i % 3];
         let daemon = self.site.start_daemon_with(&host, domain, number, &opts);
         let name = format!("quotes-{i}");
-        let mut server = self.site.start_server(&name, &["--work-us", "4000", "--slots", SLOTS]);
+        let mut server = self.site.start_server(
+            &name,
+            &["--work-us", "4000", "--slots", SLOTS, "--ends-on", deadly::PATHS],
+        );
         let direct = server.address.clone();
         server.address = self.relay(Link::Server(i), &direct).await;
         self.site.put_server("quotes", &name, &host, &server).await;
@@ -311,6 +325,33 @@
         })
     }
 
+    /// Notes that anything may break from now on: a request that ends backend servers is about.
+    pub fn begin_deadly(&mut self) {
+        self.rough.begin();
+    }
+
+    /// Starts those backend servers again that a request has ended a moment ago.
+    pub async fn settle_servers(&mut self) {
+        for i in 0..self.servers.len() {
+            if self.servers[i].process.is_running() {
+                self.down.remove(&i);
+                continue;
+            }
+            let status = self.servers[i].process.ended().await;
+            if status.code() != Some(backend::ENDED) {
+                continue;
+            }
+            match self.down.get(&i) {
+                None => {
+                    self.deadly_ends += 1;
+                    self.down.insert(i, Instant::now());
+                }
+                Some(since) if since.elapsed() >= BACK_AFTER => self.servers[i].restart(),
+                Some(_) => {}
+            }
+        }
+    }
+
     fn hit_daemon(&mut self, i: usize, hit: Hit) {
         if self.daemons[i].process.age() < DEAF_AFTER_START && hit.is_kind() {
             return;
