What is believed by its age counts the time for which a host was suspended

Callers of a host that was suspended for seconds could see it use what had long ended: leases and parts of quotas, words on drains and refusals, kept connections, confirmed reads. Cause: the clock of decisions read the steady clock, which stands still while a host is suspended. Class: an age that is measured by a clock which can stand still.

net::clock reads the time since boot, suspensions included; the pool of kept connections and the age of control's last word, which read the steady clock by themselves, take it from there. Timers stay on the steady clock and fire late after a wake, which is why decisions compare times and do not rely on them. Not changed: waits for answers, the hand-over of a leadership, the stall limit of readers (progress within a time in which both sides ran).

--- a/crates/cherrystream-daemon/src/sync/mod.rs
+++ b/crates/cherrystream-daemon/src/sync/mod.rs
@@ -13,7 +13,7 @@
 use crate::peer::Peers;
 use crate::role::SeedReader;
 use cherrystream_core::replica_choice::ReplicaChoice;
-use cherrystream_core::units::{Dotted, Revision};
+use cherrystream_core::units::{Dotted, Revision, Timestamp};
 use cherrystream_net::body::{self, Start};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::key::Secret;
@@ -243,7 +243,7 @@
     /// Takes what a replica tells of the state.
     fn take_state(&self, reply: SyncReply) {
         self.note_lag(reply.newest);
-        *self.told.lock() = Some(Told { newest: reply.newest, at: Instant::now() });
+        *self.told.lock() = Some(Told { newest: reply.newest, at: self.clock.now() });
         if let Some(update) = reply.update {
             self.take(update, "control");
         }
@@ -340,7 +340,8 @@
     fn is_served(&self, revision: Revision) -> bool {
         let told = *self.told.lock();
         let by_control = told.is_some_and(|told| {
-            told.newest >= revision && told.at.elapsed() < self.wait() + PATIENCE
+            let age = self.clock.now().since(told.at);
+            told.newest >= revision && age < self.wait() + PATIENCE
         });
         by_control || self.downloads.leads_to(revision)
     }
@@ -366,7 +367,7 @@
     /// The newest revision that it had applied.
     pub newest: Revision,
     /// When it told so.
-    pub at: Instant,
+    pub at: Timestamp,
 }
 
 /// What is known on the way to the replica that this daemon keeps to.
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -2,7 +2,9 @@
 //! whole exchange.
 
 use crate::body::{self, Body, Ending, Watched};
+use crate::clock::Clock;
 use crate::late_answers::{Exchanges, Filtered};
+use cherrystream_core::units::Timestamp;
 use http::{HeaderName, Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -10,7 +12,7 @@
 use prometheus_client::metrics::counter::Counter;
 use std::io::ErrorKind;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -50,7 +52,7 @@
 struct Idle {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
-    since: Instant,
+    since: Timestamp,
 }
 
 /// Connections to one address.
@@ -60,12 +62,14 @@
     id: Option<HeaderName>,
     idle: Arc<Mutex<Vec<Idle>>>,
     connects: Counter,
+    clock: Clock,
 }
 
 impl Pool {
     /// Creates an empty pool; `connects` counts the connections that it makes.
     pub fn new(address: &str, connects: Counter) -> Pool {
-        Pool { address: address.into(), id: None, idle: Arc::default(), connects }
+        let (idle, clock) = (Arc::default(), Clock::default());
+        Pool { address: address.into(), id: None, idle, connects, clock }
     }
 
     /// Names the header of requests and answers by which an answer names its request: late answers to
@@ -74,6 +78,11 @@
         Pool { id: Some(id), ..self }
     }
 
+    /// Takes the ages of kept connections from a clock.
+    pub fn with_clock(self, clock: Clock) -> Pool {
+        Pool { clock, ..self }
+    }
+
     /// Returns the address.
     pub fn address(&self) -> &str {
         &self.address
@@ -86,7 +95,12 @@
     /// Fails when the address takes no connection.
     pub async fn connection(&self) -> Result<Connection, NoAnswer> {
         if let Some(Idle { sender, exchanges, .. }) = self.kept() {
-            return Ok(Connection { sender, exchanges, idle: self.idle.clone() });
+            return Ok(Connection {
+                sender,
+                exchanges,
+                idle: self.idle.clone(),
+                clock: self.clock,
+            });
         }
         self.connect().await
     }
@@ -114,7 +128,7 @@
         let (sender, connection) = http1::handshake(io).await.map_err(|_| NoAnswer::NotSent)?;
         tokio::spawn(connection);
         self.connects.inc();
-        Ok(Connection { sender, exchanges, idle: self.idle.clone() })
+        Ok(Connection { sender, exchanges, idle: self.idle.clone(), clock: self.clock })
     }
 
     /// Sends a request on a connection.
@@ -143,8 +157,9 @@
     }
 
     fn kept(&self) -> Option<Idle> {
+        let now = self.clock.now();
         let mut idle = self.idle.lock();
-        idle.retain(|i| !i.sender.is_closed() && i.since.elapsed() < IDLE_TIME);
+        idle.retain(|i| !i.sender.is_closed() && now.since(i.since) < IDLE_TIME);
         let ready = idle.iter().rposition(|i| i.sender.is_ready())?;
         Some(idle.remove(ready))
     }
@@ -155,17 +170,18 @@
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
     idle: Arc<Mutex<Vec<Idle>>>,
+    clock: Clock,
 }
 
 impl Connection {
     /// Keeps the connection once the answer was read to its end.
     fn watch(self, res: Response<hyper::body::Incoming>) -> Response<Body> {
         let (parts, incoming) = res.into_parts();
-        let Connection { sender, exchanges, idle } = self;
+        let Connection { sender, exchanges, idle, clock } = self;
         let body = Watched::watch(body::incoming(incoming), move |ending| {
             let mut idle = idle.lock();
             if ending == Ending::Whole && idle.len() < IDLE_AT_MOST {
-                idle.push(Idle { sender, exchanges, since: Instant::now() });
+                idle.push(Idle { sender, exchanges, since: clock.now() });
             }
         });
         Response::from_parts(parts, body)
