--- a/crates/cherrystream-daemon/src/door.rs
+++ b/crates/cherrystream-daemon/src/door.rs
@@ -1,5 +1,9 @@
 //! The one door to a backend server of this host.
 
+mod permit;
+
+pub use permit::Permit;
+
 use cherrystream_core::admission::{
     self, Action, Admission, Arrival, Refusal, Sharer, Ticket, Verdict,
 };
@@ -16,6 +20,7 @@
 use cherrystream_net::pool::Pool;
 use cherrystream_schema::messages::{Report, ServerState};
 use parking_lot::{Mutex, MutexGuard};
+use permit::Work;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -181,7 +186,7 @@
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
-        Permit { door: self.clone(), ticket, work: None, answered: false }
+        Permit::new(self.clone(), ticket)
     }
 
     /// Pairs actions with those who wait for them. They are told after the lock is released: a
@@ -346,62 +351,3 @@
         inner.admission.leave_queue(now, self.ticket);
     }
 }
-
-/// A slot of the backend server; dropping it frees the slot.
-pub struct Permit {
-    door: Arc<Door>,
-    ticket: Ticket,
-    work: Option<Work>,
-    answered: bool,
-}
-
-/// Work that a backend server has been given.
-struct Work {
-    kind: Arc<str>,
-    since: Timestamp,
-    /// Slowness of the backend server at the beginning.
-    slowness: u32,
-    /// Whether it was cold then.
-    is_cold: bool,
-}
-
-impl Permit {
-    /// Returns whether this is a slot behind a door.
-    pub fn is_for(&self, door: &Arc<Door>) -> bool {
-        Arc::ptr_eq(&self.door, door)
-    }
-
-    fn begin(mut self, kind: Arc<str>) -> Permit {
-        let since = self.door.clock.now();
-        let inner = self.door.inner.lock();
-        let slowness = inner.admission.slowness(since);
-        let is_cold = inner.admission.is_cold(since);
-        drop(inner);
-        self.work = Some(Work { kind, since, slowness, is_cold });
-        self
-    }
-
-    /// Notes that the request leaves for the backend server.
-    pub fn sent(&self) {
-        self.door.on_sent(self.ticket);
-    }
-
-    /// Notes that the backend server answered in full.
-    pub fn answered(mut self) {
-        self.answered = true;
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let (ticket, answered) = (self.ticket, self.answered);
-        let door = self.door.clone();
-        let work = self.work.take().filter(|_| answered);
-        door.with(|inner, now| {
-            if let Some(work) = work {
-                inner.learn(now, ticket, &work);
-            }
-            ((), inner.admission.finish(now, ticket, answered))
-        });
-    }
-}
--- /dev/null
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -0,0 +1,127 @@
+//! The exchange with the backend server.
+
+use super::{HELD_BYTES, Inbound, InboundCall};
+use crate::door::{Door, Permit};
+use crate::headers;
+use crate::metrics::ServerLabel;
+use crate::refusal::Refused;
+use crate::suspects::{AlonePlace, AtWork};
+use cherrystream_core::deadline::Deadline;
+use cherrystream_core::measuring::Check;
+use cherrystream_core::reasons::Reason;
+use cherrystream_net::body::{Body, Ending, Watched};
+use cherrystream_net::interface::{Execution, SendHead};
+use cherrystream_net::pool::{Connection, NoAnswer};
+use cherrystream_net::stall;
+use cherrystream_schema::messages::ServerState;
+use http::Response;
+use http_body::Body as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+impl Inbound {
+    /// Makes the exchange with the backend server. The slot is taken until the answer's end.
+    pub(super) async fn exchange(
+        &self,
+        door: &Arc<Door>,
+        permit: Permit,
+        place: Option<AlonePlace>,
+        call: InboundCall,
+    ) -> Result<Response<Body>, Refused> {
+        let connection = self.connect(door, call.deadline).await?;
+        // It may have become known while it waited.
+        let place = match place {
+            Some(place) => Some(place),
+            None => self.place_for(door, &call)?,
+        };
+        let Some(remaining) = call.deadline.remaining(self.clock.now()) else {
+            return Err(self.refuse(Reason::DeadlineBeforeStart));
+        };
+        let mut req = call.req;
+        let send = SendHead {
+            id: &call.call,
+            instance: Some(&door.id.name),
+            time_left: remaining,
+            workspace: call.workspace.as_deref(),
+        };
+        self.interface.write_send(req.headers_mut(), &send);
+        *req.version_mut() = http::Version::HTTP_11;
+        let label = ServerLabel { server: door.id.name.to_string() };
+        self.metrics.dispatched.get_or_create(&label).inc();
+        permit.sent();
+        let at_work = AtWork::begin(&self.suspects, door, call.identity, place);
+        let sending = door.backend.send(connection, req);
+        let res = match tokio::time::timeout(remaining, sending).await {
+            Ok(Ok(res)) => res,
+            Ok(Err(NoAnswer::NotSent)) => {
+                at_work.proves_nothing();
+                return Err(self.refuse(Reason::BackendServerDown));
+            }
+            Ok(Err(NoAnswer::Broke)) => {
+                at_work.broke();
+                return Err(self.refuse(Reason::BackendServerBroke));
+            }
+            Err(_) => return Err(self.refuse(Reason::DeadlinePassed)),
+        };
+        self.check_answer(door, res, &call.call, permit, at_work)
+    }
+
+    async fn connect(&self, door: &Arc<Door>, deadline: Deadline) -> Result<Connection, Refused> {
+        let remaining = deadline.remaining(self.clock.now()).unwrap_or(Duration::ZERO);
+        match tokio::time::timeout(remaining, door.backend.connection()).await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(_)) => {
+                door.on_check(Check::Failed);
+                self.suspects.look(door);
+                Err(self.refuse(Reason::BackendServerDown))
+            }
+            Err(_) => Err(self.refuse(Reason::DeadlineBeforeStart)),
+        }
+    }
+
+    /// Checks that the answer belongs to the call, and frees the slot at its end.
+    fn check_answer(
+        &self,
+        door: &Arc<Door>,
+        res: Response<Body>,
+        call: &str,
+        permit: Permit,
+        at_work: AtWork,
+    ) -> Result<Response<Body>, Refused> {
+        let (mut parts, body) = res.into_parts();
+        if let Some(load) = self.interface.read_load(&parts) {
+            door.on_load(&load);
+        }
+        match self.interface.read_execution(&parts, call) {
+            Execution::Ran => {}
+            Execution::NotRun => {
+                at_work.not_run();
+                return Err(self.refuse(Reason::BackendServerRefused));
+            }
+            Execution::OtherInstance => {
+                // The instance is gone, and whoever took its address has not reported yet. Each further send would be
+                // turned away as well, and count among the arrivals that a request may have.
+                at_work.proves_nothing();
+                door.on_check(Check::Said(ServerState::Down));
+                return Err(self.refuse(Reason::OtherInstance));
+            }
+            Execution::WrongRequest => {
+                at_work.proves_nothing();
+                return Err(self.refuse(Reason::WrongCall));
+            }
+        }
+        headers::remove_hop_by_hop(&mut parts.headers);
+        headers::remove_own(&mut parts.headers);
+        self.interface.remove_answer_head(&mut parts.headers);
+        let body = Watched::watch(body, move |ending| match ending {
+            Ending::Whole => {
+                permit.answered();
+                at_work.answered();
+            }
+            Ending::Broken => at_work.broke(),
+        });
+        let short = body.size_hint().upper().is_some_and(|bytes| bytes <= HELD_BYTES as u64);
+        let body = if short { body } else { stall::limit(body, self.stall_limit) };
+        Ok(Response::from_parts(parts, body))
+    }
+}
--- a/crates/cherrystream-daemon/src/inbound/mod.rs
+++ b/crates/cherrystream-daemon/src/inbound/mod.rs
@@ -1,32 +1,31 @@
 //! The inbound: passes requests to the backend servers of this host, and tells truthfully what
 //! became of each.
 
+mod attempt;
+mod exchange;
+
 use crate::door::{Door, Permit};
 use crate::doors::Doors;
-use crate::headers;
 use crate::held::HeldCell;
 use crate::metrics::{self, Metrics, ServerLabel};
 use crate::refusal::Refused;
-use crate::suspects::{AlonePlace, AtWork, SuspectWatch};
+use crate::suspects::{AlonePlace, SuspectWatch};
+use attempt::Attempt;
 use bytes::Bytes;
 use cherrystream_core::admission::{Arrival, Sharer};
 use cherrystream_core::attempts::{Attempts, Claimed, RequestKey};
 use cherrystream_core::call_times;
 use cherrystream_core::deadline::Deadline;
-use cherrystream_core::measuring::Check;
-use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_core::reasons::Reason;
 use cherrystream_core::reservations::{Reservation, Reservations};
 use cherrystream_core::shared;
 use cherrystream_core::suspects::{Identity, Verdict};
-use cherrystream_net::body::{self, Body, Ending, Start, Watched};
+use cherrystream_net::body::{self, Body};
 use cherrystream_net::clock::Clock;
-use cherrystream_net::interface::{CallInterface, Execution, SendHead};
-use cherrystream_net::pool::{Connection, NoAnswer};
+use cherrystream_net::interface::CallInterface;
 use cherrystream_net::serve::{Phase, Phases};
-use cherrystream_net::stall;
-use cherrystream_schema::messages::{AttemptState, FenceRequest, Report, ServerState};
+use cherrystream_schema::messages::{AttemptState, FenceRequest, Report};
 use http::{Request, Response, response};
-use http_body::Body as _;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
@@ -236,7 +235,7 @@
             return self.exchange(door, permit, place, call).await;
         };
         self.attempts.lock().begin(&key, claimed).map_err(|reason| self.refuse(reason))?;
-        let mut attempt = Attempt { inbound: self.clone(), key, claim: claimed.claim, sent: false };
+        let mut attempt = Attempt::new(self.clone(), key, claimed.claim);
         let permit = self.enter(door, &call).await?;
         // Once sent, an unrepeatable request runs to its end though its caller leaves: a resend
         // then gets the answer in place of an unknown outcome.
@@ -324,159 +323,4 @@
         let share = rate.filter(|rate| *rate > 0).map(|rate| rate as f64);
         Some(Sharer { workspace, share })
     }
-
-    /// Makes the exchange with the backend server. The slot is taken until the answer's end.
-    async fn exchange(
-        &self,
-        door: &Arc<Door>,
-        permit: Permit,
-        place: Option<AlonePlace>,
-        call: InboundCall,
-    ) -> Result<Response<Body>, Refused> {
-        let connection = self.connect(door, call.deadline).await?;
-        // It may have become known while it waited.
-        let place = match place {
-            Some(place) => Some(place),
-            None => self.place_for(door, &call)?,
-        };
-        let Some(remaining) = call.deadline.remaining(self.clock.now()) else {
-            return Err(self.refuse(Reason::DeadlineBeforeStart));
-        };
-        let mut req = call.req;
-        let send = SendHead {
-            id: &call.call,
-            instance: Some(&door.id.name),
-            time_left: remaining,
-            workspace: call.workspace.as_deref(),
-        };
-        self.interface.write_send(req.headers_mut(), &send);
-        *req.version_mut() = http::Version::HTTP_11;
-        let label = ServerLabel { server: door.id.name.to_string() };
-        self.metrics.dispatched.get_or_create(&label).inc();
-        permit.sent();
-        let at_work = AtWork::begin(&self.suspects, door, call.identity, place);
-        let sending = door.backend.send(connection, req);
-        let res = match tokio::time::timeout(remaining, sending).await {
-            Ok(Ok(res)) => res,
-            Ok(Err(NoAnswer::NotSent)) => {
-                at_work.proves_nothing();
-                return Err(self.refuse(Reason::BackendServerDown));
-            }
-            Ok(Err(NoAnswer::Broke)) => {
-                at_work.broke();
-                return Err(self.refuse(Reason::BackendServerBroke));
-            }
-            Err(_) => return Err(self.refuse(Reason::DeadlinePassed)),
-        };
-        self.check_answer(door, res, &call.call, permit, at_work)
-    }
-
-    async fn connect(&self, door: &Arc<Door>, deadline: Deadline) -> Result<Connection, Refused> {
-        let remaining = deadline.remaining(self.clock.now()).unwrap_or(Duration::ZERO);
-        match tokio::time::timeout(remaining, door.backend.connection()).await {
-            Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(_)) => {
-                door.on_check(Check::Failed);
-                self.suspects.look(door);
-                Err(self.refuse(Reason::BackendServerDown))
-            }
-            Err(_) => Err(self.refuse(Reason::DeadlineBeforeStart)),
-        }
-    }
-
-    /// Checks that the answer belongs to the call, and frees the slot at its end.
-    fn check_answer(
-        &self,
-        door: &Arc<Door>,
-        res: Response<Body>,
-        call: &str,
-        permit: Permit,
-        at_work: AtWork,
-    ) -> Result<Response<Body>, Refused> {
-        let (mut parts, body) = res.into_parts();
-        if let Some(load) = self.interface.read_load(&parts) {
-            door.on_load(&load);
-        }
-        match self.interface.read_execution(&parts, call) {
-            Execution::Ran => {}
-            Execution::NotRun => {
-                at_work.not_run();
-                return Err(self.refuse(Reason::BackendServerRefused));
-            }
-            Execution::OtherInstance => {
-                // The instance is gone, and whoever took its address has not reported yet. Each further send would be
-                // turned away as well, and count among the arrivals that a request may have.
-                at_work.proves_nothing();
-                door.on_check(Check::Said(ServerState::Down));
-                return Err(self.refuse(Reason::OtherInstance));
-            }
-            Execution::WrongRequest => {
-                at_work.proves_nothing();
-                return Err(self.refuse(Reason::WrongCall));
-            }
-        }
-        headers::remove_hop_by_hop(&mut parts.headers);
-        headers::remove_own(&mut parts.headers);
-        self.interface.remove_answer_head(&mut parts.headers);
-        let body = Watched::watch(body, move |ending| match ending {
-            Ending::Whole => {
-                permit.answered();
-                at_work.answered();
-            }
-            Ending::Broken => at_work.broke(),
-        });
-        let short = body.size_hint().upper().is_some_and(|bytes| bytes <= HELD_BYTES as u64);
-        let body = if short { body } else { stall::limit(body, self.stall_limit) };
-        Ok(Response::from_parts(parts, body))
-    }
-}
-
-/// An attempt of an unrepeatable request at this inbound.
-struct Attempt {
-    inbound: Arc<Inbound>,
-    key: RequestKey,
-    claim: u64,
-    sent: bool,
-}
-
-impl Attempt {
-    /// Records what became of the attempt; a short answer is held for resends.
-    async fn settle(
-        &mut self,
-        result: Result<Response<Body>, Refused>,
-    ) -> Result<Response<Body>, Refused> {
-        // From here on the attempt counts as run unless the refusal says that it was not.
-        self.sent = !matches!(&result, Err(r) if r.reason.outcome() == Outcome::NotRun);
-        let (parts, body) = result?.into_parts();
-        match body::read_start(body, HELD_BYTES).await {
-            Ok(Start::Whole(bytes)) => {
-                let answer = Arc::new(HeldAnswer { parts, bytes });
-                let res = answer.response();
-                let size = answer.bytes.len() + size_of::<HeldAnswer>();
-                self.answered(Some((answer, size)));
-                Ok(res)
-            }
-            Ok(Start::Longer(body)) => {
-                self.answered(None);
-                Ok(Response::from_parts(parts, body))
-            }
-            Err(_) => Err(self.inbound.refuse(Reason::BackendServerBroke)),
-        }
-    }
-
-    fn answered(&self, answer: Option<(Arc<HeldAnswer>, usize)>) {
-        self.inbound.attempts.lock().answered(&self.key, self.claim, answer);
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        let mut attempts = self.inbound.attempts.lock();
-        // An attempt that was answered is settled already; these then change nothing.
-        if self.sent {
-            attempts.broke(&self.key, self.claim);
-        } else {
-            attempts.abandon(&self.key, self.claim);
-        }
-    }
 }
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -1,11 +1,13 @@
 //! The outbound: takes callers' requests, chooses backend servers and sends the requests on.
 
+mod aim;
 mod choosing;
 mod hedging;
 mod once;
 mod replay;
 mod request;
 mod reserving;
+mod retrying;
 mod send;
 
 use crate::headers;
@@ -22,10 +24,10 @@
 use cherrystream_core::choose::{self, Distance, ServerId, Table};
 use cherrystream_core::first_asked::FirstAsked;
 use cherrystream_core::reasons::{Outcome, Reason};
-use cherrystream_core::retry::{self, Failed, RetryBudget};
+use cherrystream_core::retry::{self, RetryBudget};
 use cherrystream_core::routes::RouteIndex;
 use cherrystream_core::shared;
-use cherrystream_core::suspects::{FingerprintKey, Verdict};
+use cherrystream_core::suspects::FingerprintKey;
 use cherrystream_net::body::{self, Body};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{CallInterface, RefusalHead};
@@ -211,54 +213,6 @@
         }
     }
 
-    /// Decides on a request by what is known of it: each attempt may end one more backend server.
-    fn check_suspect(&self, call: &mut Call) -> Result<(), Refused> {
-        match self.suspects.judge(call.identity.request) {
-            Verdict::Clear | Verdict::Watched => {}
-            Verdict::Alone => call.run_alone(),
-            Verdict::HeldBack(retry_after) => {
-                return Err(Refused { retry_after, ..Refused::new(Reason::HeldBack) });
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns when another attempt may be made; fails with the final refusal.
-    fn weigh_retry(&self, call: &mut Call, refused: Refused) -> Result<(), Refused> {
-        // The door knows more of the request than this daemon: there is one backend server for it.
-        if refused.reason == Reason::RunsAlone && !call.alone {
-            call.run_alone();
-            return Ok(());
-        }
-        call.attempts += 1;
-        call.arrivals += u32::from(refused.reason.reached_server());
-        if refused.reason.outcome() == Outcome::Unknown {
-            call.broke.get_or_insert(refused.reason);
-        }
-        let may_have_ended_one = call.alone && refused.reason.outcome() == Outcome::Unknown;
-        if may_have_ended_one || self.phases.now() == Phase::Ending {
-            return Err(refused);
-        }
-        let failed = Failed {
-            reason: refused.reason,
-            attempts: call.attempts,
-            repeatable: call.treatment.repeatable,
-            replayable: call.body.is_replayable(),
-            arrivals: call.arrivals,
-            arrivals_at_most: call.arrivals_at_most,
-        };
-        let label = metrics::label(refused.reason);
-        let may = self.table(&call.service).is_some_and(|table| {
-            retry::decide(failed, &mut table.lock().budget, &mut call.allowance)
-        });
-        if may {
-            self.metrics.retries.get_or_create(&label).inc();
-            return Ok(());
-        }
-        self.metrics.retries_denied.get_or_create(&label).inc();
-        Err(refused)
-    }
-
     pub(crate) fn table(&self, service: &str) -> Option<Arc<Mutex<Choosing>>> {
         self.tables.read().get(service).cloned()
     }
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request.
 
 use super::Outbound;
+use super::aim::{self, Aim, Aimed};
 use super::replay::{self, HELD_BYTES, Replay};
 use crate::headers;
 use crate::held::Held;
@@ -8,11 +9,11 @@
 use crate::request_log::RequestSummary;
 use cherrystream_core::call_times::{CallTimes, Given};
 use cherrystream_core::deadline::Deadline;
-use cherrystream_core::kinds::{self, Treatment};
+use cherrystream_core::kinds::Treatment;
 use cherrystream_core::quota::Charge;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::retry::Allowance;
-use cherrystream_core::routes::{NamedRoute, RouteIndex};
+use cherrystream_core::routes::RouteIndex;
 use cherrystream_core::suspects::identity::{self, Identity};
 use cherrystream_core::units::Timestamp;
 use cherrystream_core::workspaces::{ApiKey, NamedWorkspace};
@@ -29,10 +30,6 @@
 const ONCE_BYTES: usize = 1024 * 1024;
 /// Backend servers that a request is offered to before it takes what it gets.
 const SELECTIVE_OFFERS: u32 = 4;
-/// Weight of the requests with the highest priority.
-const HIGHEST_PRIORITY_WEIGHT: u32 = 1_000;
-/// Longest key, in bytes.
-const KEY_BYTES: usize = 255;
 
 /// A request as it arrived, with what its caller says.
 pub(super) struct Arrived {
@@ -86,11 +83,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct Member {
     pub(super) workspace: Arc<NamedWorkspace>,
-    key: ApiKey,
+    pub(super) key: ApiKey,
     /// Whether the request was let in for its key only.
-    needed: bool,
+    pub(super) needed: bool,
     /// Routes and workspaces by which it was last checked.
-    checked: Arc<RouteIndex>,
+    pub(super) checked: Arc<RouteIndex>,
 }
 
 impl Call {
@@ -223,7 +220,7 @@
     arrived: Arrived,
 ) -> Result<Call, Refused> {
     let Arrived { head: parts, caller, body } = arrived;
-    let aimed = match aim(outbound, held, &parts, caller) {
+    let aimed = match aim::aim(outbound, held, &parts, caller) {
         Ok(aimed) => aimed,
         Err(refused) => {
             // Requests may wait behind it on the connection.
@@ -258,7 +255,7 @@
         workspace: member.as_ref().map(|member| &*member.workspace.name),
         service: outbound.caller_service.as_deref(),
         method: parts.method.as_str(),
-        host: host_name(&parts).unwrap_or_default(),
+        host: aim::host_name(&parts).unwrap_or_default(),
         target: uri.path_and_query().map_or("/", |target| target.as_str()),
         body: &beginning,
         body_length,
@@ -331,27 +328,6 @@
     }
 }
 
-/// What the head of a request tells.
-struct Aimed {
-    head: CallerHead,
-    aim: Aim,
-    key: Option<Arc<str>>,
-    uri: Uri,
-}
-
-/// Reads the head of a request.
-fn aim(
-    outbound: &Outbound,
-    held: &Held,
-    parts: &request::Parts,
-    caller: Result<CallerHead, Reason>,
-) -> Result<Aimed, Refused> {
-    let head = caller.map_err(Refused::new)?;
-    let aim = find_aim(outbound, held, parts, head.key.as_ref())?;
-    let key = read_key(&parts.headers, &aim.treatment)?;
-    Ok(Aimed { head, aim, key, uri: target(parts)? })
-}
-
 /// Returns how long ago the caller first asked, as far as that can be told.
 fn first_asked(
     outbound: &Outbound,
@@ -363,137 +339,6 @@
     outbound.first_asked.lock().on_request(outbound.clock.now(), &kind, left)
 }
 
-/// Where a request goes, and how it is treated.
-struct Aim {
-    service: Arc<str>,
-    treatment: Treatment,
-    route: Option<Arc<NamedRoute>>,
-    member: Option<Member>,
-    /// Whether no key and no word of the caller on its workspace goes on. Where no workspace knows the caller and none has
-    /// to, what it sends is for the application.
-    strips_key: bool,
-}
-
-/// Finds the route of a request, or else the service that it names.
-fn find_aim(
-    outbound: &Outbound,
-    held: &Held,
-    parts: &request::Parts,
-    key: Option<&ApiKey>,
-) -> Result<Aim, Refused> {
-    let named = parts.headers.contains_key(headers::SERVICE);
-    if outbound.routes_only || !named {
-        let host = host_name(parts).unwrap_or_default();
-        let routes = outbound.routes();
-        if let Some(route) = routes.find(host, parts.uri.path()) {
-            return routed(&routes, route, key);
-        }
-    }
-    if outbound.routes_only {
-        let known = held.routes.is_some();
-        return Err(Refused::new(if known { Reason::NoRoute } else { Reason::NoConfiguration }));
-    }
-    let name = service_name(parts)?;
-    let routes = outbound.routes();
-    // Who bears no key learns nothing of which services there are.
-    let admitted = admit(&routes, key, false)?;
-    let service =
-        held.shared.config.services.get(name).ok_or(Refused::new(Reason::NoSuchService))?;
-    let treatment = kinds::treatment(service, parts.method.as_str(), parts.uri.path());
-    let Admitted { member, strips_key } = admitted;
-    Ok(Aim { service: name.into(), treatment, route: None, member, strips_key })
-}
-
-fn routed(
-    routes: &Arc<RouteIndex>,
-    route: &Arc<NamedRoute>,
-    key: Option<&ApiKey>,
-) -> Result<Aim, Refused> {
-    let Admitted { member, strips_key } = admit(routes, key, route.route.keyless)?;
-    let of_workspace = member.as_ref().and_then(|member| member.workspace.priority);
-    let priority = of_workspace.unwrap_or(route.route.priority);
-    let weight = HIGHEST_PRIORITY_WEIGHT.saturating_sub(priority).max(1);
-    let service = route.pick(&mut rand::rng()).ok_or(Refused::new(Reason::NoSuchService))?;
-    let treatment = Treatment {
-        kind: route.name.to_string(),
-        repeatable: route.route.repeatable,
-        needs_key: false,
-        weight,
-        deadline: Duration::from_micros(route.route.timeout_us),
-    };
-    Ok(Aim { service: service.into(), treatment, route: Some(route.clone()), member, strips_key })
-}
-
-/// A request that may come in.
-struct Admitted {
-    member: Option<Member>,
-    strips_key: bool,
-}
-
-/// Lets a request in by its key, or without one where none is needed.
-fn admit(
-    routes: &Arc<RouteIndex>,
-    key: Option<&ApiKey>,
-    keyless: bool,
-) -> Result<Admitted, Refused> {
-    let has_workspaces = routes.workspaces().needs_key();
-    let needed = has_workspaces && !keyless;
-    let member = find_member(routes, key, needed);
-    if needed && member.is_none() {
-        return Err(Refused::new(Reason::UnknownKey));
-    }
-    let strips_key = has_workspaces || member.is_some();
-    Ok(Admitted { member, strips_key })
-}
-
-/// Returns the workspace that holds a key.
-fn find_member(routes: &Arc<RouteIndex>, key: Option<&ApiKey>, needed: bool) -> Option<Member> {
-    let key = key?;
-    let workspace = routes.workspaces().holder(key)?.clone();
-    Some(Member { workspace, key: key.clone(), needed, checked: routes.clone() })
-}
-
-/// Returns the host name that the caller asks for, without its port.
-fn host_name(parts: &request::Parts) -> Option<&str> {
-    let host = parts.uri.host().or_else(|| headers::text(&parts.headers, &header::HOST))?;
-    Some(host.split_once(':').map_or(host, |(name, _)| name))
-}
-
-/// Returns the service asked for: by its header, else by the first label of the host name. Two
-/// headers could mean two services to two readers, so they are refused.
-fn service_name(parts: &request::Parts) -> Result<&str, Refused> {
-    let named = parts.headers.get_all(headers::SERVICE).iter().count();
-    if named > 1 {
-        return Err(Refused::new(Reason::BadRequest));
-    }
-    if let Some(name) = headers::text(&parts.headers, &headers::SERVICE) {
-        return Ok(name);
-    }
-    let host = parts.uri.host().or_else(|| headers::text(&parts.headers, &header::HOST));
-    let label = host.and_then(|host| host.split(['.', ':']).next());
-    label.ok_or(Refused::new(Reason::NoSuchService))
-}
-
-/// Returns the key of a request that may not be repeated. Other requests' keys are not looked at.
-fn read_key(map: &HeaderMap, treatment: &Treatment) -> Result<Option<Arc<str>>, Refused> {
-    if !treatment.needs_key {
-        return Ok(None);
-    }
-    if !map.contains_key(headers::IDEMPOTENCY_KEY) {
-        return Err(Refused::new(Reason::KeyMissing));
-    }
-    let one = map.get_all(headers::IDEMPOTENCY_KEY).iter().count() == 1;
-    match headers::text(map, &headers::IDEMPOTENCY_KEY) {
-        Some(key) if one && !key.is_empty() && key.len() <= KEY_BYTES => Ok(Some(key.into())),
-        _ => Err(Refused::new(Reason::BadRequest)),
-    }
-}
-
-fn target(parts: &request::Parts) -> Result<Uri, Refused> {
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    path.parse().map_err(|_| Refused::new(Reason::BadRequest))
-}
-
 /// Returns the headers that are passed on.
 fn clean_headers(outbound: &Outbound, parts: request::Parts, strips_key: bool) -> HeaderMap {
     let mut map = parts.headers;
--- /dev/null
+++ b/crates/cherrystream-daemon/src/outbound/retrying.rs
@@ -0,0 +1,60 @@
+//! Whether a request is sent, and sent again.
+
+use super::Outbound;
+use super::request::Call;
+use crate::metrics;
+use crate::refusal::Refused;
+use cherrystream_core::reasons::{Outcome, Reason};
+use cherrystream_core::retry::{self, Failed};
+use cherrystream_core::suspects::Verdict;
+use cherrystream_net::serve::Phase;
+
+impl Outbound {
+    /// Decides on a request by what is known of it: each attempt may end one more backend server.
+    pub(super) fn check_suspect(&self, call: &mut Call) -> Result<(), Refused> {
+        match self.suspects.judge(call.identity.request) {
+            Verdict::Clear | Verdict::Watched => {}
+            Verdict::Alone => call.run_alone(),
+            Verdict::HeldBack(retry_after) => {
+                return Err(Refused { retry_after, ..Refused::new(Reason::HeldBack) });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns when another attempt may be made; fails with the final refusal.
+    pub(super) fn weigh_retry(&self, call: &mut Call, refused: Refused) -> Result<(), Refused> {
+        // The door knows more of the request than this daemon: there is one backend server for it.
+        if refused.reason == Reason::RunsAlone && !call.alone {
+            call.run_alone();
+            return Ok(());
+        }
+        call.attempts += 1;
+        call.arrivals += u32::from(refused.reason.reached_server());
+        if refused.reason.outcome() == Outcome::Unknown {
+            call.broke.get_or_insert(refused.reason);
+        }
+        let may_have_ended_one = call.alone && refused.reason.outcome() == Outcome::Unknown;
+        if may_have_ended_one || self.phases.now() == Phase::Ending {
+            return Err(refused);
+        }
+        let failed = Failed {
+            reason: refused.reason,
+            attempts: call.attempts,
+            repeatable: call.treatment.repeatable,
+            replayable: call.body.is_replayable(),
+            arrivals: call.arrivals,
+            arrivals_at_most: call.arrivals_at_most,
+        };
+        let label = metrics::label(refused.reason);
+        let may = self.table(&call.service).is_some_and(|table| {
+            retry::decide(failed, &mut table.lock().budget, &mut call.allowance)
+        });
+        if may {
+            self.metrics.retries.get_or_create(&label).inc();
+            return Ok(());
+        }
+        self.metrics.retries_denied.get_or_create(&label).inc();
+        Err(refused)
+    }
+}
