A request is the same one on the hosts of all services

Cause: the service of the host where a request began was part of what stands for it. Class: an identity that holds more than the cause goes with. Mend: workspace and content only; the mark of the caller, by which tables are kept fair, still has the service.

--- a/crates/cherrystream-core/src/suspects/identity.rs
+++ b/crates/cherrystream-core/src/suspects/identity.rs
@@ -60,7 +60,7 @@
 /// What the system knows of a request that comes again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Identity {
-    /// The request, its caller included: no caller's request is taken for another one's.
+    /// The request, its workspace included: no workspace's request is taken for another one's.
     pub request: Fingerprint,
     /// Its caller.
     pub caller: CallerMark,
@@ -90,8 +90,10 @@
     pub fn identity(&self, key: &FingerprintKey) -> Identity {
         let caller = CallerMark::new(key, self.workspace, self.service);
         let mut hasher = SipHasher13::new_with_key(&key.0);
-        hasher.write(&caller.0.to_le_bytes());
-        for part in [self.method, self.host, self.target] {
+        // A caller sends from the hosts of any service. With the service in it, the same request was another one on the hosts of
+        // each: on hosts of three services 9 servers ended under it in place of 3.
+        let workspace = self.workspace.unwrap_or_default();
+        for part in [workspace, self.method, self.host, self.target] {
             write_part(&mut hasher, part.as_bytes());
         }
         write_part(&mut hasher, &self.body[..self.body.len().min(BODY_BYTES)]);
