A run that failed clears nothing of a request that ends servers

Cause: any whole answer cleared it, also one of a run that failed before it would have ended its server, as when a call that it needs fails. Mend: only answers that are no failure (5xx) clear. A harmless request that always fails stays as it stands, for an hour at most.

--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -113,10 +113,11 @@
         headers::remove_hop_by_hop(&mut parts.headers);
         headers::remove_own(&mut parts.headers);
         self.interface.remove_answer_head(&mut parts.headers);
+        let failed = parts.status.is_server_error();
         let body = Watched::watch(body, move |ending| match ending {
             Ending::Whole => {
                 permit.answered();
-                at_work.answered();
+                at_work.answered(failed);
             }
             Ending::Broken => at_work.broke(),
         });
--- a/crates/cherrystream-daemon/src/suspects/at_work.rs
+++ b/crates/cherrystream-daemon/src/suspects/at_work.rs
@@ -66,11 +66,14 @@
         }
     }
 
-    /// Notes that it was answered in full.
-    pub fn answered(mut self) {
+    /// Notes that it was answered in full. A run that failed clears nothing: it may have ended before the server would have, as
+    /// when a call that it needs fails. When it did, 13 servers ended under one such request in place of 3.
+    pub fn answered(mut self, failed: bool) {
         self.is_settled = true;
         self.door.ends().on_answer(self.sent_at);
-        self.watch.on_answer(&self.door, self.sent.identity.request);
+        if !failed {
+            self.watch.on_answer(&self.door, self.sent.identity.request);
+        }
     }
 
     /// Notes that the server did not run it; so it is there, or another run of it is.
