--- a/crates/cherrystream/src/cli.rs
+++ b/crates/cherrystream/src/cli.rs
@@ -30,6 +30,7 @@
     Confirm(ConfirmArgs),
     Config(ConfigArgs),
     Status(StatusArgs),
+    Suspects(SuspectsArgs),
 }
 
 /// Run the roles that the settings switch on.
@@ -62,6 +63,28 @@
     pub seconds: Option<u64>,
 }
 
+/// Show the requests under which backend servers ended (`list`), or let one through again everywhere (`lift MARK`). Any
+/// daemon can be asked: all know the same of requests that are held back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "suspects")]
+pub struct SuspectsArgs {
+    /// list or lift
+    #[argh(positional)]
+    pub action: String,
+    /// mark of the request, as list and the daemons' logs show it
+    #[argh(positional)]
+    pub mark: Option<String>,
+    /// address for peers of a daemon
+    #[argh(option)]
+    pub daemon: String,
+    /// file with the key that the system's own processes share
+    #[argh(option)]
+    pub key_file: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// How the control API is reached, and how results are printed.
 pub struct Target {
     pub api: Option<String>,
--- a/crates/cherrystream/src/commands.rs
+++ b/crates/cherrystream/src/commands.rs
@@ -4,6 +4,7 @@
 use crate::cli::{BackendArgs, Command, EvacuateArgs, HostArgs, KindArgs, ServiceArgs, Target};
 use crate::errors::{self, Result};
 use crate::print;
+use crate::suspects;
 use crate::workspace;
 use cherrystream_schema::messages::{ConfigReply, ConfirmReply, Intent, PlanReply, StatusReply};
 use serde::Serialize;
@@ -53,6 +54,7 @@
             let reply: StatusReply = ApiClient::try_new(&target)?.get("/v1/status").await?;
             show(&target, &reply, print::status)
         }
+        Command::Suspects(args) => suspects::run(args).await,
         Command::Run(_) | Command::Check(_) | Command::Try(_) => Ok(()),
     }
 }
--- a/crates/cherrystream/src/errors.rs
+++ b/crates/cherrystream/src/errors.rs
@@ -73,6 +73,14 @@
         /// The address.
         address: String,
     },
+    /// A daemon did not answer.
+    #[snafu(display(
+        "the daemon at {address} does not answer; give the address that its settings name as peer_address in --daemon"
+    ))]
+    NoDaemon {
+        /// The address.
+        address: String,
+    },
     /// The control API refused the call.
     #[snafu(display("{error}; {remedy}"))]
     Refused {
--- a/crates/cherrystream/src/main.rs
+++ b/crates/cherrystream/src/main.rs
@@ -12,6 +12,7 @@
 mod sample;
 mod signals;
 mod site;
+mod suspects;
 mod workspace;
 
 use cli::Command;
--- a/crates/cherrystream/src/print.rs
+++ b/crates/cherrystream/src/print.rs
@@ -2,7 +2,7 @@
 
 use cherrystream_core::workspaces;
 use cherrystream_schema::messages::{
-    ConfigReply, ConfirmReply, DaemonStatus, PlanReply, StatusReply,
+    ConfigReply, ConfirmReply, DaemonStatus, LiftReply, PlanReply, StatusReply, SuspectList,
 };
 use std::fmt::Write;
 
@@ -31,6 +31,39 @@
     format!("plan {} is accepted at revision {}\n", reply.plan, reply.revision)
 }
 
+/// Writes the requests under which backend servers ended.
+pub fn suspects(reply: &SuspectList) -> String {
+    let mut text = String::new();
+    for suspect in &reply.suspects {
+        let trial =
+            suspect.next_trial_s.map_or(String::new(), |s| format!(", next trial in {s} s"));
+        let _ = writeln!(
+            text,
+            "{} of caller {}: {}; backend servers ended: {}, {} of them while it ran alone, the last {} s ago{trial}",
+            suspect.mark,
+            suspect.caller,
+            suspect.standing,
+            suspect.ends,
+            suspect.ends_alone,
+            suspect.last_end_s
+        );
+    }
+    match text.is_empty() {
+        true => "no request is known for ends of backend servers\n".into(),
+        false => text,
+    }
+}
+
+/// Writes what became of lifting.
+pub fn lifted(reply: &LiftReply) -> String {
+    match reply.lifted {
+        true => {
+            "it is let through again; it is held back anew if backend servers go on ending\n".into()
+        }
+        false => "this daemon knows no such request; nothing has changed\n".into(),
+    }
+}
+
 /// Writes which failure domains are evacuated.
 pub fn evacuations(reply: &ConfigReply) -> String {
     match reply.config.failure_domains_out.as_slice() {
--- a/crates/cherrystream/tests/processes/support/site.rs
+++ b/crates/cherrystream/tests/processes/support/site.rs
@@ -71,6 +71,13 @@
         self.process = Process::start_standin(&args, &self.log).0;
     }
 
+    /// Takes an option away, with its value, from the next start on.
+    pub fn forget_option(&mut self, name: &str) {
+        if let Some(at) = self.args.iter().position(|arg| arg == name) {
+            self.args.drain(at..at + 2);
+        }
+    }
+
     /// Returns the runs on record.
     pub fn runs(&self) -> Vec<String> {
         cherrystream_standin::record::read_runs(&self.record).unwrap()
