Rate limits and leaving that backend servers state are read, logged and shown as metrics

The interfaces now read both signals (the product's own headers cherrystream-server-limit and cherrystream-server-leaving, and the platform's), the daemon beside the server tracks them, logs the first, each changed and the last one, and shows them as gauges. Nothing is decided on them.

An answer counts only after it is known to belong to the request and the instance. A limit is raised or ended only by the answer to a request that was sent after it was last stated. An unreadable value is logged once and ignored.

--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod backpressure;
 pub mod choose;
 pub mod cold_rate_limit;
 pub mod concurrency_limit;
--- /dev/null
+++ b/crates/cherrystream-core/tests/backpressure/main.rs
@@ -0,0 +1,3 @@
+//! What a backend server states about itself: a rate limit, and that it is leaving.
+
+mod signals;
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -44,6 +44,10 @@
 /// Milliseconds for which a backend server remains cold, sent with its load reports and health
 /// responses.
 pub const COLD_MS: HeaderName = HeaderName::from_static("cherrystream-cold-ms");
+/// Requests per second that a backend server accepts, in its answers.
+pub const SERVER_LIMIT: HeaderName = HeaderName::from_static("cherrystream-server-limit");
+/// 1 in the answers of a backend server that is leaving.
+pub const SERVER_LEAVING: HeaderName = HeaderName::from_static("cherrystream-server-leaving");
 /// Claim of a non-repeatable request, as JSON.
 pub const CLAIM: HeaderName = HeaderName::from_static("cherrystream-claim");
 /// Requested chunk of an encoded update, as JSON.
@@ -128,6 +132,14 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Returns all values of a header as text; `None` for one that is not text.
+pub fn texts<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> impl Iterator<Item = Option<&'a str>> {
+    headers.get_all(name).iter().map(|value| value.to_str().ok())
+}
+
 /// Returns a header's value, parsed from its text.
 pub fn parsed<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
     text(headers, name)?.parse().ok()
--- a/crates/cherrystream-daemon/src/health_checks.rs
+++ b/crates/cherrystream-daemon/src/health_checks.rs
@@ -97,13 +97,19 @@
     let label = ServerLabel { server: server.id.name.to_string() };
     inbound.metrics.measuring.get_or_create(&label).inc();
     server.on_probe_sent();
+    let sent_at = server.now();
     let response = tokio::time::timeout(CHECK_TIMEOUT, request(&server.backend, &path));
     if let Ok(Ok(res)) = response.await {
         let (parts, body) = res.into_parts();
         if let Some(load) = inbound.interface.read_load(&parts) {
             server.on_load(&load);
         }
-        server.on_health_response(&inbound.interface.read_health(&parts));
+        let health = inbound.interface.read_health(&parts);
+        server.on_health_response(&health);
+        if health.instance.as_deref() == Some(&*server.id.name) {
+            let signals = inbound.interface.read_signals(&parts);
+            inbound.local_servers.on_health_signals(&server, sent_at, &signals);
+        }
         // The connection is reused only if the body was read.
         let _ = body::read_start(body, MAX_RESPONSE_BYTES).await;
     }
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -9,6 +9,7 @@
 use cherrystream_core::deadline::Deadline;
 use cherrystream_core::health::Check;
 use cherrystream_core::reasons::Reason;
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::body::{Body, Ending, Watched};
 use cherrystream_net::interface::{Execution, SendHead};
 use cherrystream_net::pool::{Connection, NoAnswer};
@@ -19,6 +20,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A request that was sent to a backend server.
+struct Sent {
+    /// Identifier of the call.
+    call: String,
+    at: Timestamp,
+    permit: Permit,
+    at_work: InFlightRequest,
+}
+
 impl Inbound {
     /// Sends the request and returns the answer. The slot is occupied until the end of the answer.
     pub(super) async fn exchange(
@@ -49,6 +59,7 @@
         let label = ServerLabel { server: server.id.name.to_string() };
         self.metrics.dispatched.get_or_create(&label).inc();
         permit.sent();
+        let sent_at = self.clock.now();
         let at_work = InFlightRequest::begin(&self.suspects, server, call.identity, place);
         let sending = server.backend.send(connection, req);
         let res = match tokio::time::timeout(remaining, sending).await {
@@ -66,7 +77,8 @@
                 return Err(self.refuse(Reason::DeadlinePassed));
             }
         };
-        self.check_answer(server, res, &call.call, permit, at_work)
+        let sent = Sent { call: call.call, at: sent_at, permit, at_work };
+        self.check_answer(server, res, sent)
     }
 
     async fn connect(
@@ -91,17 +103,17 @@
         &self,
         server: &Arc<LocalServer>,
         res: Response<Body>,
-        call: &str,
-        permit: Permit,
-        at_work: InFlightRequest,
+        sent: Sent,
     ) -> Result<Response<Body>, Refused> {
+        let Sent { call, at, permit, at_work } = sent;
         let (mut parts, body) = res.into_parts();
         if let Some(load) = self.interface.read_load(&parts) {
             server.on_load(&load);
         }
-        match self.interface.read_execution(&parts, call) {
+        match self.interface.read_execution(&parts, &call) {
             Execution::Ran => {}
             Execution::NotRun => {
+                self.local_servers.on_signals(server, at, &self.interface.read_signals(&parts));
                 at_work.not_run();
                 return Err(self.refuse(Reason::BackendServerRefused));
             }
@@ -117,6 +129,7 @@
                 return Err(self.refuse(Reason::WrongCall));
             }
         }
+        self.local_servers.on_signals(server, at, &self.interface.read_signals(&parts));
         headers::remove_hop_by_hop(&mut parts.headers);
         headers::remove_own(&mut parts.headers);
         self.interface.remove_answer_head(&mut parts.headers);
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -8,6 +8,7 @@
 use cherrystream_core::admission::{
     self, Action, Admission, Arrival, Decision, Flow, Refusal, Ticket,
 };
+use cherrystream_core::backpressure::{SignalChange, SignalTracker, Signals};
 use cherrystream_core::cold_rate_limit::ColdLimits;
 use cherrystream_core::concurrency_limit::{self, ConcurrencyLimit};
 use cherrystream_core::health::{Check, Health, ProbeBudget};
@@ -73,6 +74,9 @@
     cold_service_times: ServiceTimes,
     /// Counts for the roll-out of the service that is in progress.
     rollout: RolloutRecord,
+    signals: SignalTracker,
+    /// When a change of the stated limit was last logged.
+    limit_logged_at: Timestamp,
 }
 
 impl LocalServer {
@@ -92,12 +96,19 @@
             service_times: ServiceTimes::default(),
             cold_service_times: ServiceTimes::default(),
             rollout: RolloutRecord::default(),
+            signals: SignalTracker::default(),
+            limit_logged_at: Timestamp::default(),
         };
         let probe_budget = Mutex::new(ProbeBudget::new(probes_per_second));
         let (crash_detector, inner) = (Mutex::default(), Mutex::new(inner));
         LocalServer { id, version: "".into(), backend, probe_budget, clock, crash_detector, inner }
     }
 
+    /// Returns the current time of its clock.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
     /// Sets the version.
     pub fn with_version(self, version: &str) -> LocalServer {
         LocalServer { version: version.into(), ..self }
@@ -282,6 +293,28 @@
         self.inner.lock().admission.on_slowness(self.clock.now(), load.slowness);
     }
 
+    /// Handles the signals in the answer to a request that was sent at `sent_at`.
+    pub fn on_signals(&self, sent_at: Timestamp, signals: &Signals) -> Vec<SignalChange> {
+        self.inner.lock().signals.on_answer(self.clock.now(), sent_at, signals)
+    }
+
+    /// Handles the signals in an answer of the health endpoint to a probe that was sent at
+    /// `sent_at`.
+    pub fn on_health_signals(&self, sent_at: Timestamp, signals: &Signals) -> Vec<SignalChange> {
+        self.inner.lock().signals.on_health_answer(self.clock.now(), sent_at, signals)
+    }
+
+    /// Returns whether a change of the stated limit may be logged, at most once in `interval`.
+    pub fn may_log_limit(&self, interval: Duration) -> bool {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let may = now.since(inner.limit_logged_at) >= interval;
+        if may {
+            inner.limit_logged_at = now;
+        }
+        may
+    }
+
     /// Handles the warmth in a report of the instance; it becomes warm after `cold_for`.
     pub fn on_reported_warmth(&self, sequence: u64, cold_for: Duration) {
         let mut inner = self.inner.lock();
--- a/crates/cherrystream-daemon/src/local_servers.rs
+++ b/crates/cherrystream-daemon/src/local_servers.rs
@@ -1,5 +1,7 @@
 //! The backend servers of this host.
 
+mod signals;
+
 use crate::current_config::CurrentConfig;
 use crate::local_server::{LocalServer, ServerName};
 use crate::metrics::{self, Metrics, ReasonLabel, ServerLabel};
@@ -109,6 +111,11 @@
         self.servers.read().get(&name).cloned()
     }
 
+    /// Returns whether a backend server has not been removed or replaced.
+    fn is_current(&self, server: &LocalServer) -> bool {
+        self.get(&server.id.service, &server.id.name).is_some_and(|s| std::ptr::eq(&*s, server))
+    }
+
     /// Returns the instance that reports itself to this daemon, if it belongs to a service.
     pub fn instance_of(&self, service: &str) -> Option<Arc<LocalServer>> {
         let instance = self.instance.read();
@@ -145,6 +152,9 @@
         let previous =
             slot.replace(CurrentInstance { server: server.clone(), born_ms: report.born_ms });
         drop(slot);
+        if let Some(previous) = previous.as_ref().filter(|p| !p.matches(report)) {
+            self.metrics.backpressure.on_replaced(&previous.server.id.name);
+        }
         if let Some(previous) = previous.filter(|p| p.server.id == server.id && !p.matches(report))
         {
             previous.server.on_check(Check::Reported(ServerState::Down));
--- a/crates/cherrystream-daemon/src/metrics.rs
+++ b/crates/cherrystream-daemon/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of the daemon role.
 
+mod backpressure;
 mod quotas;
 
+pub use backpressure::BackpressureMetrics;
 pub use quotas::QuotaMetrics;
 
 use cherrystream_core::reasons::Reason;
@@ -113,6 +115,8 @@
     pub wrong_keys: Counter,
     /// Metrics of quotas.
     pub quotas: QuotaMetrics,
+    /// Metrics of what backend servers state about themselves.
+    pub backpressure: BackpressureMetrics,
     /// Rejected reports of instances, by kind of fault.
     pub bad_reports: Family<ReasonLabel, Counter>,
     /// Crashes of backend servers of this host with requests in flight.
@@ -158,6 +162,7 @@
             room_changes: Family::default(),
             wrong_keys: Counter::default(),
             quotas: QuotaMetrics::default(),
+            backpressure: BackpressureMetrics::default(),
             bad_reports: Family::default(),
             ends_at_work: Counter::default(),
             suspects: Family::default(),
@@ -209,6 +214,7 @@
         r.register("room_changes", "Changes of that by cause", changes);
         r.register("wrong_keys", "Peer requests without the key", self.wrong_keys.clone());
         self.quotas.register(r);
+        self.backpressure.register(r);
         let bad = self.bad_reports.clone();
         r.register("bad_reports", "Reports of instances that were not taken", bad);
         let ends = self.ends_at_work.clone();
--- a/crates/cherrystream-daemon/src/own_interface.rs
+++ b/crates/cherrystream-daemon/src/own_interface.rs
@@ -2,6 +2,7 @@
 
 use crate::headers;
 use crate::refusal;
+use cherrystream_core::backpressure::{RateLimit, Signals, Stated};
 use cherrystream_core::instances::InstanceReport;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::workspaces::ApiKey;
@@ -71,6 +72,17 @@
         None
     }
 
+    fn read_signals(&self, head: &response::Parts) -> Signals {
+        let map = &head.headers;
+        Signals {
+            rate_limit: Stated::read(headers::texts(map, &headers::SERVER_LIMIT), RateLimit::parse),
+            leaving: Stated::read(
+                headers::texts(map, &headers::SERVER_LEAVING),
+                Signals::parse_leaving,
+            ),
+        }
+    }
+
     fn read_health(&self, head: &response::Parts) -> HealthResponse {
         let instance = headers::text(&head.headers, &headers::SERVER).map(str::to_string);
         HealthResponse { instance, cold_for: read_cold_time(&head.headers) }
--- a/crates/cherrystream-net/src/interface.rs
+++ b/crates/cherrystream-net/src/interface.rs
@@ -4,6 +4,7 @@
 //! values only. The native interface is one implementation, that of a platform another.
 
 use crate::body::Body;
+use cherrystream_core::backpressure::Signals;
 use cherrystream_core::instances::InstanceReport;
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::workspaces::ApiKey;
@@ -187,6 +188,10 @@
     /// Reads the load report of a backend server, if the response contains one.
     fn read_load(&self, head: &response::Parts) -> Option<ServerLoad>;
 
+    /// Reads the rate limit that a backend server states in a response, and whether it is leaving.
+    /// The headers of both are passed on to the caller.
+    fn read_signals(&self, head: &response::Parts) -> Signals;
+
     /// Reads a health response.
     fn read_health(&self, head: &response::Parts) -> HealthResponse;
 
--- a/crates/cherrystream-standin/src/backend.rs
+++ b/crates/cherrystream-standin/src/backend.rs
@@ -35,6 +35,10 @@
 const CALL_HEADER: &str = "cherrystream-call";
 /// Header of a request that fails instead of crashing the process.
 const FAILS_HEADER: &str = "standin-fails";
+/// Header with the requests per second that the server accepts.
+const LIMIT_HEADER: &str = "cherrystream-server-limit";
+/// Header of a server that is leaving.
+const LEAVING_HEADER: &str = "cherrystream-server-leaving";
 /// Header with the remaining time of a request, in milliseconds.
 const DEADLINE_MS_HEADER: &str = "cherrystream-deadline-ms";
 
@@ -216,6 +220,7 @@
         let call = req.headers().get(CALL_HEADER).cloned();
         let mut res = self.run(req, &faults).await;
         in_flight.finish();
+        self.state_signals(&mut res);
         if let Some(call) = call.filter(|_| !faults.wrong_call) {
             res.headers_mut().insert(CALL_HEADER, call);
         } else if faults.wrong_call {
@@ -224,6 +229,19 @@
         res
     }
 
+    /// Adds the headers by which a server states its rate limit and that it is leaving.
+    fn state_signals(&self, res: &mut Response<Body>) {
+        let faults = self.faults.lock();
+        let limit =
+            faults.limit.as_deref().and_then(|limit| header::HeaderValue::from_str(limit).ok());
+        if let Some(limit) = limit {
+            res.headers_mut().insert(LIMIT_HEADER, limit);
+        }
+        if faults.leaving {
+            res.headers_mut().insert(LEAVING_HEADER, header::HeaderValue::from_static("1"));
+        }
+    }
+
     async fn run(&self, req: Request<Incoming>, faults: &Faults) -> Response<Body> {
         let (parts, incoming) = req.into_parts();
         let key = parts.headers.get("idempotency-key").and_then(|k| k.to_str().ok());
--- a/crates/cherrystream-standin/src/faults.rs
+++ b/crates/cherrystream-standin/src/faults.rs
@@ -25,4 +25,8 @@
     pub shed: bool,
     /// Whether answers contain the identifier of another call.
     pub wrong_call: bool,
+    /// Rate limit that answers state, as text; none when absent.
+    pub limit: Option<String>,
+    /// Whether answers state that the server is leaving.
+    pub leaving: bool,
 }
