--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod ending;
 mod leaving;
+mod limits;
 mod once;
 mod operators;
 mod path;
