A backend server gets no more requests than the rate that it states

Cause: no part read the rate; admission, report and choice had no place for one.

The inbound, which every request to the server passes, now enforces it with a token bucket of one second's depth that starts empty: the queue decides who goes first, the rest is refused at once (over-server-limit, not run) with the time of a token that is promised to nobody else. Outbounds learn limit and next token with each answer and refusal, choose other servers meanwhile, and make one attempt instead of four when all are limited. They bring the limit along with requests to that instance, so a daemon restarted beside it enforces what its callers have been told. Both headers now reach callers of the product's own interface too.

--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -7,6 +7,7 @@
 pub use fair::Flow;
 pub use request::{Action, Arrival, Decision, Options, Rank, Refusal, Ticket};
 
+use crate::backpressure::{RateLimit, RateLimiter};
 use crate::cold_rate_limit::{ColdLimits, ColdRateLimit};
 use crate::concurrency_limit::{self, ConcurrencyLimit};
 use crate::reasons::Reason;
@@ -30,6 +31,9 @@
 /// free slot at another backend server.
 const AMPLE_CAPACITY_BELOW: f64 = 0.5;
 
+/// Longest wait for a token of a stated rate limit, unless other work depends on the request.
+const MAX_TOKEN_WAIT: Duration = Duration::from_millis(100);
+
 /// Key that orders the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueKey {
@@ -88,6 +92,8 @@
     slowness: Slowness,
     warmth: Warmth,
     cold_rate_limit: ColdRateLimit,
+    /// Rate limit that the backend server states.
+    rate_limiter: RateLimiter,
     /// Adaptive concurrency limit; replaces the fixed share of the slots.
     concurrency_limit: Option<ConcurrencyLimit>,
     next_ticket: u64,
@@ -109,6 +115,7 @@
             slowness: Slowness::default(),
             warmth: Warmth::default(),
             cold_rate_limit: ColdRateLimit::default(),
+            rate_limiter: RateLimiter::default(),
             concurrency_limit: None,
             next_ticket: 0,
             sequence: 0,
@@ -196,7 +203,9 @@
             return (Decision::Run(ticket), actions);
         }
         self.note_limit_reached(now);
-        if let Some(refusal) = self.cold_refusal(now, &arrival, rank, remaining) {
+        let refusal = self.cold_refusal(now, &arrival, rank, remaining);
+        let refusal = refusal.or_else(|| self.limit_refusal(now, &arrival, rank, remaining));
+        if let Some(refusal) = refusal {
             return (Decision::Refuse(refusal), actions);
         }
         // A refused nested call wastes the work of its parent, so it waits regardless of the
@@ -243,7 +252,8 @@
 
     /// Returns whether the backend server should be probed for its slowness.
     pub fn needs_slowness_probe(&self, now: Timestamp) -> bool {
-        self.slowness.needs_probe(now)
+        // With a stated limit, a probe would take the place of a request.
+        !self.rate_limiter.is_limited() && self.slowness.needs_probe(now)
     }
 
     /// Returns whether a request should wait for a new slowness report before it is decided on.
@@ -255,6 +265,7 @@
         let has_ample_capacity = taken <= AMPLE_CAPACITY_BELOW * f64::from(self.slots_now(now));
         arrival.selective
             && has_ample_capacity
+            && !self.rate_limiter.is_limited()
             && self.slowness.needs_report_first(now, arrival.typical_time, within)
     }
 
@@ -286,6 +297,7 @@
         {
             running.sent = true;
             self.cold_rate_limit.on_sent(now);
+            self.rate_limiter.on_sent(now);
         }
     }
 
@@ -294,9 +306,27 @@
         self.cold_rate_limit.on_new();
     }
 
-    /// Records a probe of the health endpoint; a cold backend server counts it as a request.
+    /// Records a probe of the health endpoint, which counts as a request.
     pub fn on_probe_sent(&mut self, now: Timestamp) {
         self.cold_rate_limit.on_sent(now);
+        self.rate_limiter.on_sent(now);
+    }
+
+    /// Sets or ends the rate limit that the backend server states.
+    pub fn set_rate_limit(&mut self, now: Timestamp, limit: Option<RateLimit>) -> Vec<Action> {
+        self.rate_limiter.set_limit(now, limit);
+        self.start_waiting(now)
+    }
+
+    /// Returns the time until the stated rate limit lets another request through, or `None` without
+    /// a limit.
+    pub fn token_wait(&mut self, now: Timestamp) -> Option<Duration> {
+        self.rate_limiter.wait(now, self.waiting.len() + self.unsent())
+    }
+
+    /// Returns whether requests wait for a token of the stated rate limit.
+    pub fn waits_for_token(&self) -> bool {
+        self.rate_limiter.is_limited() && !self.waiting.is_empty()
     }
 
     fn cold_limits(&self, now: Timestamp) -> Option<ColdLimits> {
@@ -317,8 +347,39 @@
     /// warm.
     fn cold_wait(&mut self, now: Timestamp, rank: Rank) -> Option<Duration> {
         let limits = self.cold_limits(now)?;
-        let ahead = self.waiting.keys().filter(|key| key.rank.0 >= rank).count();
-        Some(self.cold_rate_limit.wait(now, &limits, ahead + self.unsent()))
+        let ahead = self.ahead(rank);
+        Some(self.cold_rate_limit.wait(now, &limits, ahead))
+    }
+
+    /// Returns the number of requests that are sent before a new one of `rank`.
+    fn ahead(&self, rank: Rank) -> usize {
+        self.waiting.keys().filter(|key| key.rank.0 >= rank).count() + self.unsent()
+    }
+
+    /// Refuses a request that the stated rate limit does not let through soon. A nested call waits
+    /// for as long as its answer is useful to its parent.
+    fn limit_refusal(
+        &mut self,
+        now: Timestamp,
+        arrival: &Arrival,
+        rank: Rank,
+        remaining: Duration,
+    ) -> Option<Refusal> {
+        let ahead = self.ahead(rank);
+        let wait = self.rate_limiter.wait(now, ahead)?;
+        let useful_for = arrival.good_until.map_or(remaining, |until| until.since(now));
+        let max_wait = if rank.nested { useful_for } else { MAX_TOKEN_WAIT };
+        (wait > max_wait.min(remaining)).then(|| self.over_limit(now, ahead))
+    }
+
+    /// Returns whether the stated rate limit lets a request through.
+    fn has_token(&mut self, now: Timestamp) -> bool {
+        !self.rate_limiter.is_limited() || self.rate_limiter.allows(now, self.unsent())
+    }
+
+    fn over_limit(&mut self, now: Timestamp, ahead: usize) -> Refusal {
+        let retry_after = self.rate_limiter.promise(now, ahead).unwrap_or_default();
+        Refusal { reason: Reason::OverServerLimit, retry_after }
     }
 
     /// Refuses a request that a cold backend server cannot start in time: within its deadline, and
@@ -364,6 +425,9 @@
         if self.is_next(key) && self.slot(now, rank.nested, over_share) == Slot::LeftToOthers {
             return Refusal::yielded_slot();
         }
+        if !self.has_token(now) {
+            return self.over_limit(now, self.ahead(rank));
+        }
         let refusal = self.refusal(Reason::BusyNow);
         let cold_wait = self.cold_wait(now, rank).unwrap_or_default();
         Refusal { retry_after: refusal.retry_after.max(cold_wait), ..refusal }
@@ -479,7 +543,7 @@
 
     /// Returns the availability of a slot for a request, which may be a nested call.
     fn slot(&mut self, now: Timestamp, nested: bool, over_share: bool) -> Slot {
-        if !self.cold_limit_allows(now) {
+        if !self.cold_limit_allows(now) || !self.has_token(now) {
             return Slot::Taken;
         }
         let slots = self.slots_now(now);
--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -133,7 +133,10 @@
             .map(|s| s.id.name.clone())
             .collect();
         let avoided: Vec<Arc<str>> = full.iter().chain(tried).cloned().collect();
-        let chosen = self.choose(now, rng, &avoided);
+        let chosen = match self.first_token(now, &avoided) {
+            Some(limited) => Some(limited),
+            None => self.choose_unlimited(now, rng, avoided),
+        };
         let soonest = self.servers.iter().map(full_for).filter(|d| !d.is_zero()).min();
         match (chosen, soonest) {
             (None, Some(soonest)) => Err(soonest),
@@ -141,6 +144,31 @@
         }
     }
 
+    /// Returns whether rate limits are expected to refuse a request at all backend servers.
+    pub fn all_limited(&self, now: Timestamp, excluded: &[Arc<str>]) -> bool {
+        self.first_token(now, excluded).is_some()
+    }
+
+    /// Returns the backend server whose rate limit lets a request through first, if all that accept
+    /// work are limited.
+    fn first_token(&self, now: Timestamp, excluded: &[Arc<str>]) -> Option<ServerId> {
+        let open = candidates(&self.servers, now, excluded, |_| true);
+        let first = open.into_iter().min_by_key(|s| s.limited_for(now))?;
+        (!first.limited_for(now).is_zero()).then(|| first.id.clone())
+    }
+
+    /// Chooses a backend server that no rate limit holds back.
+    fn choose_unlimited(
+        &mut self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        mut avoided: Vec<Arc<str>>,
+    ) -> Option<ServerId> {
+        let limited = self.servers.iter().filter(|s| !s.limited_for(now).is_zero());
+        avoided.extend(limited.map(|s| s.id.name.clone()));
+        self.choose(now, rng, &avoided)
+    }
+
     /// Chooses the backend server on which a suspect request runs in isolation, except barred ones.
     ///
     /// The choice is deterministic: daemons with the same list that consider the same servers
--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -28,6 +28,8 @@
 const CLOSED_TTL: Duration = Duration::from_secs(2);
 /// Backoff after a refusal because the backend server or its host accepts no work.
 const CLOSED_BACKOFF: Duration = Duration::from_millis(500);
+/// Longest time for which a backend server is passed over for its rate limit, as that may end.
+const MAX_TOKEN_WAIT: Duration = Duration::from_secs(1);
 /// Slowness factor from which a backend server is considered slow.
 const SLOW_FACTOR: f64 = 1.3;
 
@@ -95,6 +97,8 @@
     errors_at: Timestamp,
     backoff_until: Timestamp,
     refusals: Refusals,
+    /// When a stated rate limit lets the next request through.
+    token_at: Timestamp,
     next_call: u64,
 }
 
@@ -115,6 +119,7 @@
             errors_at: Timestamp::default(),
             backoff_until: Timestamp::default(),
             refusals: Refusals::default(),
+            token_at: Timestamp::default(),
             next_call: 0,
         }
     }
@@ -162,14 +167,26 @@
         self.refusals.on_full(now, kind, lasts);
     }
 
-    /// Returns whether a request is expected to be refused for lack of a free slot.
+    /// Records the time until a rate limit that the backend server states lets a request through.
+    pub fn on_token_wait(&mut self, now: Timestamp, wait: Duration) {
+        self.token_at = self.token_at.max(now + wait.min(MAX_TOKEN_WAIT));
+    }
+
+    /// Returns how long a request is expected to be refused for the rate limit.
+    pub fn limited_for(&self, now: Timestamp) -> Duration {
+        self.token_at.since(now)
+    }
+
+    /// Returns whether a request is expected to be refused for lack of a free slot, or for the rate
+    /// limit.
     pub fn is_busy(&self, now: Timestamp, kind: &str) -> bool {
-        !self.refusals.busy_for(now, kind).is_zero()
+        !self.busy_for(now, kind).is_zero()
     }
 
-    /// Returns how long a request is expected to be refused for lack of a free slot.
+    /// Returns how long a request is expected to be refused for lack of a free slot, or for the rate
+    /// limit.
     pub fn busy_for(&self, now: Timestamp, kind: &str) -> Duration {
-        self.refusals.busy_for(now, kind)
+        self.refusals.busy_for(now, kind).max(self.limited_for(now))
     }
 
     /// Returns how long a request is expected to be refused for the length of the queue.
@@ -211,7 +228,7 @@
     pub fn can_serve_within(&self, now: Timestamp, kind: &str, within: Duration) -> bool {
         let full = !self.refusals.full_for(now, kind).is_zero();
         let is_normal = self.slowness(now) < SLOW_FACTOR && self.is_healthy(now);
-        !full && is_normal && self.refusals.busy_for(now, kind) <= within
+        !full && is_normal && self.busy_for(now, kind) <= within
     }
 
     /// Returns whether the backend server is in the failure domain of this daemon.
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod state;
 pub mod suspects;
 pub mod text_patch;
+pub mod token_bucket;
 pub mod transfer;
 pub mod units;
 pub mod warmth;
--- a/crates/cherrystream-core/src/log_budget.rs
+++ b/crates/cherrystream-core/src/log_budget.rs
@@ -1,5 +1,6 @@
 //! Rate limits for log lines about requests, separate for failures and successes.
 
+use crate::token_bucket::{Size, TokenBucket};
 use crate::units::Timestamp;
 
 /// Log lines per second about failed requests.
@@ -9,48 +10,39 @@
 /// Capacity of a bucket, in seconds of its rate.
 const BURST_SECONDS: f64 = 2.0;
 
-/// Token bucket.
+/// Token bucket of one kind of line.
 #[derive(Debug)]
-struct TokenBucket {
-    per_second: f64,
-    tokens: f64,
-    refilled: Timestamp,
+struct Bucket {
+    size: Size,
+    tokens: TokenBucket,
 }
 
-impl TokenBucket {
-    fn new(per_second: f64) -> TokenBucket {
-        TokenBucket {
-            per_second,
-            tokens: per_second * BURST_SECONDS,
-            refilled: Timestamp::default(),
-        }
+impl Bucket {
+    fn new(per_second: f64) -> Bucket {
+        let depth = per_second * BURST_SECONDS;
+        let tokens = TokenBucket::new(Timestamp::default(), depth);
+        Bucket { size: Size { per_second, depth }, tokens }
     }
 
     fn try_take(&mut self, now: Timestamp) -> bool {
-        let earned = now.since(self.refilled).as_secs_f64() * self.per_second;
-        self.refilled = now;
-        self.tokens = (self.tokens + earned).min(self.per_second * BURST_SECONDS);
-        let can = self.tokens >= 1.0;
-        if can {
-            self.tokens -= 1.0;
-        }
-        can
+        self.tokens.refill(now, self.size);
+        self.tokens.try_take()
     }
 }
 
 /// Decides which log lines about requests are written.
 #[derive(Debug)]
 pub struct LogBudget {
-    failures: TokenBucket,
-    answers: TokenBucket,
+    failures: Bucket,
+    answers: Bucket,
     dropped: u64,
 }
 
 impl Default for LogBudget {
     fn default() -> Self {
         LogBudget {
-            failures: TokenBucket::new(FAILURES_PER_SECOND),
-            answers: TokenBucket::new(ANSWERS_PER_SECOND),
+            failures: Bucket::new(FAILURES_PER_SECOND),
+            answers: Bucket::new(ANSWERS_PER_SECOND),
             dropped: 0,
         }
     }
--- a/crates/cherrystream-core/src/reasons.rs
+++ b/crates/cherrystream-core/src/reasons.rs
@@ -110,6 +110,8 @@
     BusyNow = "busy-now", NotRun, 503, true;
     /// The backend server is cold and its rate limit is reached.
     ServerCold = "server-cold", NotRun, 503, true;
+    /// The rate limit that the backend server states is reached.
+    OverServerLimit = "over-server-limit", NotRun, 503, true;
     /// Requests of higher weight displaced it from the queue.
     ShedByWeight = "shed-by-weight", NotRun, 503, true;
     /// Requests of workspaces that have used less displaced it from the queue.
--- a/crates/cherrystream-core/tests/backpressure/main.rs
+++ b/crates/cherrystream-core/tests/backpressure/main.rs
@@ -1,3 +1,4 @@
 //! What a backend server states about itself: a rate limit, and that it is leaving.
 
+mod limiter;
 mod signals;
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -44,6 +44,9 @@
 /// Milliseconds for which a backend server remains cold, sent with its load reports and health
 /// responses.
 pub const COLD_MS: HeaderName = HeaderName::from_static("cherrystream-cold-ms");
+/// Rate limit and leaving of a backend server, in compact form; see [`crate::hop`]. Between daemons,
+/// and only while there are any.
+pub const SIGNALS: HeaderName = HeaderName::from_static("cherrystream-signals");
 /// Requests per second that a backend server accepts, in its answers.
 pub const SERVER_LIMIT: HeaderName = HeaderName::from_static("cherrystream-server-limit");
 /// 1 in the answers of a backend server that is leaving.
@@ -196,10 +199,21 @@
     }
 }
 
-/// Removes the system's own headers, which callers and backend servers may not set.
+/// Removes the system's own headers, which callers may not set.
 pub fn remove_own(headers: &mut HeaderMap) {
-    let names: Vec<HeaderName> =
-        headers.keys().filter(|name| name.as_str().starts_with(OWN_PREFIX)).cloned().collect();
+    remove_own_except(headers, &[]);
+}
+
+/// Removes the system's own headers from an answer, except those that backend servers set for their
+/// callers.
+pub fn remove_own_from_answer(headers: &mut HeaderMap) {
+    remove_own_except(headers, &[SERVER_LIMIT, SERVER_LEAVING]);
+}
+
+fn remove_own_except(headers: &mut HeaderMap, kept: &[HeaderName]) {
+    let is_removed =
+        |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX) && !kept.contains(name);
+    let names: Vec<HeaderName> = headers.keys().filter(is_removed).cloned().collect();
     for name in &names {
         headers.remove(name);
     }
--- a/crates/cherrystream-daemon/src/health_checks.rs
+++ b/crates/cherrystream-daemon/src/health_checks.rs
@@ -16,9 +16,9 @@
 
 /// Time between checks of what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Time between checks of what is due while the instance is cold; a few times per request that its
-/// rate limit admits.
-const COLD_TICK: Duration = Duration::from_millis(10);
+/// Time between checks of what is due while requests wait for a rate limit of the instance; a few
+/// times per request that such a limit admits.
+const RATE_LIMITED_TICK: Duration = Duration::from_millis(10);
 /// Timeout of one health check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest time between health checks of a backend server.
@@ -40,9 +40,9 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut due = HashMap::new();
     loop {
-        let is_cold = inbound.local_servers.instance().is_some_and(|server| server.is_cold());
-        if is_cold {
-            tokio::time::sleep(COLD_TICK).await;
+        let instance = inbound.local_servers.instance();
+        if instance.is_some_and(|server| server.is_cold() || server.waits_for_token()) {
+            tokio::time::sleep(RATE_LIMITED_TICK).await;
         } else {
             interval.tick().await;
         }
--- a/crates/cherrystream-daemon/src/hop.rs
+++ b/crates/cherrystream-daemon/src/hop.rs
@@ -5,6 +5,7 @@
 
 use crate::headers::{self, Op};
 use crate::refusal::Refused;
+use cherrystream_core::backpressure::{InstanceKey, RateLimit, SignalHint, SignalReport};
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::reservations::Reservation;
 use cherrystream_core::suspects::Fingerprint;
@@ -12,8 +13,12 @@
 use cherrystream_schema::messages::Report;
 use http::{HeaderMap, Response};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: u128 = 1_000;
+
 /// A fingerprint as eight bytes; a variable-length integer would take ten.
 pub type FingerprintBytes = [u8; 8];
 
@@ -99,6 +104,74 @@
     pub reservation: Option<Reservation>,
 }
 
+/// Signals of a backend server, sent by the inbound beside it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ReportedSignals {
+    server: String,
+    born_ms: u64,
+    limit_milli: Option<u64>,
+    leaving: bool,
+    token_wait_ms: u32,
+}
+
+/// What an outbound knows of the signals of the chosen backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct KnownSignals {
+    born_ms: u64,
+    limit_milli: Option<u64>,
+    leaving: bool,
+}
+
+/// Writes the signals of a backend server into an answer.
+pub fn write_signals(map: &mut HeaderMap, signals: Option<&SignalReport>) {
+    let Some(signals) = signals else { return };
+    let wait_ms = signals.token_wait.as_micros().div_ceil(MICROS_PER_MILLI);
+    let reported = ReportedSignals {
+        server: signals.instance.name.to_string(),
+        born_ms: signals.instance.born_ms,
+        limit_milli: signals.limit.map(RateLimit::as_milli),
+        leaving: signals.leaving,
+        token_wait_ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
+    };
+    headers::set_compact(map, headers::SIGNALS, &reported);
+}
+
+/// Reads the signals of a backend server of a service from an answer.
+pub fn read_signals(map: &HeaderMap, service: &Arc<str>) -> Option<SignalReport> {
+    let reported: ReportedSignals = headers::compact(map, &headers::SIGNALS)?;
+    let instance = InstanceKey {
+        service: service.clone(),
+        name: reported.server.into(),
+        born_ms: reported.born_ms,
+    };
+    Some(SignalReport {
+        instance,
+        limit: reported.limit_milli.map(RateLimit::from_milli),
+        leaving: reported.leaving,
+        token_wait: Duration::from_millis(reported.token_wait_ms.into()),
+    })
+}
+
+/// Writes what is known of the chosen backend server into a call.
+pub fn write_hint(map: &mut HeaderMap, hint: Option<&SignalHint>) {
+    let Some(hint) = hint else { return };
+    let known = KnownSignals {
+        born_ms: hint.instance.born_ms,
+        limit_milli: hint.limit.map(RateLimit::as_milli),
+        leaving: hint.leaving,
+    };
+    headers::set_compact(map, headers::SIGNALS, &known);
+}
+
+/// Reads what the sender of a call knows of the chosen backend server.
+pub fn read_hint(map: &HeaderMap, service: &Arc<str>, server: &Arc<str>) -> Option<SignalHint> {
+    let known: KnownSignals = headers::compact(map, &headers::SIGNALS)?;
+    let instance =
+        InstanceKey { service: service.clone(), name: server.clone(), born_ms: known.born_ms };
+    let limit = known.limit_milli.map(RateLimit::from_milli);
+    Some(SignalHint { instance, limit, leaving: known.leaving })
+}
+
 /// Values shared by all calls of one caller to one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTarget<'a> {
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -131,7 +131,7 @@
         }
         self.local_servers.on_signals(server, at, &self.interface.read_signals(&parts));
         headers::remove_hop_by_hop(&mut parts.headers);
-        headers::remove_own(&mut parts.headers);
+        headers::remove_own_from_answer(&mut parts.headers);
         self.interface.remove_answer_head(&mut parts.headers);
         let failed = parts.status.is_server_error();
         let body = Watched::watch(body, move |ending| match ending {
--- a/crates/cherrystream-daemon/src/inbound/mod.rs
+++ b/crates/cherrystream-daemon/src/inbound/mod.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use cherrystream_core::admission::{Arrival, Flow};
 use cherrystream_core::attempts::{Attempts, Claimed, RequestKey};
+use cherrystream_core::backpressure::{SignalHint, SignalReport};
 use cherrystream_core::deadline::Deadline;
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::request_times;
@@ -67,6 +68,8 @@
     pub call: String,
     /// Request key and claim, if the request may not be repeated.
     pub claimed: Option<(RequestKey, Claimed)>,
+    /// What the sender knows of the signals of the backend server.
+    pub hint: Option<SignalHint>,
     /// The request.
     pub req: Request<Body>,
 }
@@ -77,6 +80,8 @@
     pub result: Result<Response<Body>, Refused>,
     /// Report on the backend server, if it runs on this host.
     pub report: Option<Report>,
+    /// Signals of the backend server, if there are any.
+    pub signals: Option<SignalReport>,
 }
 
 /// Outcome of a reservation, with a report on the backend server.
@@ -85,6 +90,8 @@
     pub result: Result<Reservation, Refused>,
     /// Report on the backend server, if it runs on this host.
     pub report: Option<Report>,
+    /// Signals of the backend server, if there are any.
+    pub signals: Option<SignalReport>,
 }
 
 /// An answer that is cached for resends.
@@ -134,13 +141,16 @@
     /// Forwards a request to its backend server.
     pub async fn call(self: &Arc<Self>, call: InboundCall) -> InboundAnswer {
         let Some(server) = self.server_for(&call) else {
-            return InboundAnswer { result: Err(self.refuse(Reason::NotHere)), report: None };
+            let result = Err(self.refuse(Reason::NotHere));
+            return InboundAnswer { result, report: None, signals: None };
         };
+        self.local_servers.on_hint(&server, call.hint.as_ref());
         let result = match self.check_ready().or_else(|| self.check_version(&server)) {
             Some(reason) => Err(self.refuse(reason)),
             None => self.forward(&server, call).await,
         };
-        InboundAnswer { result, report: Some(server.report(self.incarnation)) }
+        let report = Some(server.report(self.incarnation));
+        InboundAnswer { result, report, signals: server.signal_report() }
     }
 
     /// Returns the backend server that serves a call. If the sender chose a previous instance, the
@@ -157,8 +167,10 @@
     /// Reserves a slot for a call whose body follows.
     pub async fn reserve(self: &Arc<Self>, call: InboundCall) -> Reserved {
         let Some(server) = self.server_for(&call) else {
-            return Reserved { result: Err(self.refuse(Reason::NotHere)), report: None };
+            let result = Err(self.refuse(Reason::NotHere));
+            return Reserved { result, report: None, signals: None };
         };
+        self.local_servers.on_hint(&server, call.hint.as_ref());
         let result = match self.check_ready().or_else(|| self.check_version(&server)) {
             Some(reason) => Err(self.refuse(reason)),
             // A request that runs in isolation takes its place only once its body is here.
@@ -169,7 +181,8 @@
                 Err(refused) => Err(refused),
             },
         };
-        Reserved { result, report: Some(server.report(self.incarnation)) }
+        let report = Some(server.report(self.incarnation));
+        Reserved { result, report, signals: server.signal_report() }
     }
 
     fn add_reservation(&self, permit: Permit) -> Reservation {
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -8,7 +8,9 @@
 use cherrystream_core::admission::{
     self, Action, Admission, Arrival, Decision, Flow, Refusal, Ticket,
 };
-use cherrystream_core::backpressure::{SignalChange, SignalTracker, Signals};
+use cherrystream_core::backpressure::{
+    InstanceKey, SignalChange, SignalHint, SignalReport, SignalTracker, Signals,
+};
 use cherrystream_core::cold_rate_limit::ColdLimits;
 use cherrystream_core::concurrency_limit::{self, ConcurrencyLimit};
 use cherrystream_core::health::{Check, Health, ProbeBudget};
@@ -21,7 +23,7 @@
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{HealthResponse, ServerLoad};
 use cherrystream_net::pool::Pool;
-use cherrystream_schema::messages::{Report, ServerState, VersionTally};
+use cherrystream_schema::messages::{Instance, Report, ServerState, VersionTally};
 use parking_lot::{Mutex, MutexGuard};
 use permit::{Ending, Work};
 use rollout_record::RolloutRecord;
@@ -54,6 +56,8 @@
     pub id: ServerName,
     /// Version of its software; empty if it reports none.
     pub version: Arc<str>,
+    /// Unix time in milliseconds at which its instance started; 0 if not reported.
+    pub born_ms: u64,
     /// Pool of connections to the backend server.
     pub backend: Pool,
     /// Rate limit of its health checks.
@@ -101,7 +105,16 @@
         };
         let probe_budget = Mutex::new(ProbeBudget::new(probes_per_second));
         let (crash_detector, inner) = (Mutex::default(), Mutex::new(inner));
-        LocalServer { id, version: "".into(), backend, probe_budget, clock, crash_detector, inner }
+        LocalServer {
+            id,
+            version: "".into(),
+            born_ms: 0,
+            backend,
+            probe_budget,
+            clock,
+            crash_detector,
+            inner,
+        }
     }
 
     /// Returns the current time of its clock.
@@ -109,9 +122,10 @@
         self.clock.now()
     }
 
-    /// Sets the version.
-    pub fn with_version(self, version: &str) -> LocalServer {
-        LocalServer { version: version.into(), ..self }
+    /// Sets the version and the start time of the instance.
+    pub fn with_instance(self, instance: &Instance) -> LocalServer {
+        let version = instance.version.as_str().into();
+        LocalServer { version, born_ms: instance.born_ms, ..self }
     }
 
     /// Sets the roll-out of the service that is in progress, by its start in Unix milliseconds.
@@ -294,14 +308,70 @@
     }
 
     /// Handles the signals in the answer to a request that was sent at `sent_at`.
-    pub fn on_signals(&self, sent_at: Timestamp, signals: &Signals) -> Vec<SignalChange> {
-        self.inner.lock().signals.on_answer(self.clock.now(), sent_at, signals)
+    pub fn on_signals(
+        self: &Arc<Self>,
+        sent_at: Timestamp,
+        signals: &Signals,
+    ) -> Vec<SignalChange> {
+        self.update_signals(|tracker, now| tracker.on_answer(now, sent_at, signals))
     }
 
     /// Handles the signals in an answer of the health endpoint to a probe that was sent at
     /// `sent_at`.
-    pub fn on_health_signals(&self, sent_at: Timestamp, signals: &Signals) -> Vec<SignalChange> {
-        self.inner.lock().signals.on_health_answer(self.clock.now(), sent_at, signals)
+    pub fn on_health_signals(
+        self: &Arc<Self>,
+        sent_at: Timestamp,
+        signals: &Signals,
+    ) -> Vec<SignalChange> {
+        self.update_signals(|tracker, now| tracker.on_health_answer(now, sent_at, signals))
+    }
+
+    /// Handles what another daemon knows from earlier answers.
+    pub fn on_signal_hint(self: &Arc<Self>, hint: &SignalHint) -> Vec<SignalChange> {
+        self.update_signals(|tracker, now| tracker.on_hint(now, hint.limit, hint.leaving))
+    }
+
+    fn update_signals(
+        self: &Arc<Self>,
+        f: impl FnOnce(&mut SignalTracker, Timestamp) -> Vec<SignalChange>,
+    ) -> Vec<SignalChange> {
+        self.update(|inner, now| {
+            let changes = f(&mut inner.signals, now);
+            let mut actions = Vec::new();
+            for change in &changes {
+                if let SignalChange::Limit { to, .. } = change {
+                    actions.extend(inner.admission.set_rate_limit(now, *to));
+                }
+            }
+            (changes, actions)
+        })
+    }
+
+    /// Returns what other daemons have to know of the signals, if there are any.
+    pub fn signal_report(&self) -> Option<SignalReport> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let (limit, leaving) = (inner.signals.limit(), inner.signals.is_leaving());
+        if limit.is_none() && !leaving {
+            return None;
+        }
+        let token_wait = inner.admission.token_wait(now).unwrap_or_default();
+        let instance = self.instance_key();
+        Some(SignalReport { instance, limit, leaving, token_wait })
+    }
+
+    /// Returns the identity of this run of the backend server.
+    pub fn instance_key(&self) -> InstanceKey {
+        InstanceKey {
+            service: self.id.service.clone(),
+            name: self.id.name.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
+    /// Returns whether requests wait for the rate limit that the backend server states.
+    pub fn waits_for_token(&self) -> bool {
+        self.inner.lock().admission.waits_for_token()
     }
 
     /// Returns whether a change of the stated limit may be logged, at most once in `interval`.
--- a/crates/cherrystream-daemon/src/local_servers.rs
+++ b/crates/cherrystream-daemon/src/local_servers.rs
@@ -171,7 +171,7 @@
         let name = ServerName::new(&report.service, &report.id);
         let opts = self.options(&report.service, report.slots);
         let server = LocalServer::new(name, self.pool(&report.address), opts, 0, self.clock);
-        let server = server.with_version(&report.version);
+        let server = server.with_instance(report);
         self.init_concurrency_limit(&server, opts, previous);
         if is_new {
             server.on_new_instance();
--- a/crates/cherrystream-daemon/src/local_servers/signals.rs
+++ b/crates/cherrystream-daemon/src/local_servers/signals.rs
@@ -2,8 +2,9 @@
 
 use super::LocalServers;
 use crate::local_server::LocalServer;
-use cherrystream_core::backpressure::{RateLimit, SignalChange, Signals};
+use cherrystream_core::backpressure::{RateLimit, SignalChange, SignalHint, Signals};
 use cherrystream_core::units::Timestamp;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Shortest time between log lines about changes of the limit of one backend server.
@@ -12,19 +13,33 @@
 impl LocalServers {
     /// Handles the signals in the answer of a backend server to a request that was sent at
     /// `sent_at`.
-    pub fn on_signals(&self, server: &LocalServer, sent_at: Timestamp, signals: &Signals) {
+    pub fn on_signals(&self, server: &Arc<LocalServer>, sent_at: Timestamp, signals: &Signals) {
         for change in server.on_signals(sent_at, signals) {
             self.record_signal_change(server, &change);
         }
     }
 
     /// Handles the signals in an answer of the health endpoint that names the instance it comes from.
-    pub fn on_health_signals(&self, server: &LocalServer, sent_at: Timestamp, signals: &Signals) {
+    pub fn on_health_signals(
+        &self,
+        server: &Arc<LocalServer>,
+        sent_at: Timestamp,
+        signals: &Signals,
+    ) {
         for change in server.on_health_signals(sent_at, signals) {
             self.record_signal_change(server, &change);
         }
     }
 
+    /// Handles what the sender of a request knows of a backend server. A hint on an earlier instance
+    /// is ignored.
+    pub fn on_hint(&self, server: &Arc<LocalServer>, hint: Option<&SignalHint>) {
+        let Some(hint) = hint.filter(|hint| hint.instance == server.instance_key()) else { return };
+        for change in server.on_signal_hint(hint) {
+            self.record_signal_change(server, &change);
+        }
+    }
+
     fn record_signal_change(&self, server: &LocalServer, change: &SignalChange) {
         let name = &*server.id.name;
         if !self.is_current(server) {
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -12,6 +12,7 @@
 mod retrying;
 mod send;
 mod server_lists;
+mod signals;
 
 use crate::current_config::{CurrentConfig, CurrentConfigCell};
 use crate::headers;
@@ -25,6 +26,7 @@
 use crate::suspects::SuspectTracker;
 use crate::sync::NewestPeer;
 use canaries::Canary;
+use cherrystream_core::backpressure::KnownSignals;
 use cherrystream_core::choose::{Server, ServerTable};
 use cherrystream_core::elapsed_time::ElapsedTimeEstimator;
 use cherrystream_core::reasons::{Outcome, Reason};
@@ -72,6 +74,11 @@
     }
 }
 
+/// Returns whether a request that was only offered may be offered to another backend server.
+fn is_offer_refusal(reason: Reason) -> bool {
+    matches!(reason, Reason::BusyNow | Reason::OverServerLimit)
+}
+
 /// Largest number of saved hedged attempts.
 const MAX_SAVED_HEDGES: f64 = 2.0;
 
@@ -99,6 +106,8 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) quotas: Arc<Quotas>,
     pub(crate) suspects: Arc<SuspectTracker>,
+    /// Signals of backend servers. Never locked together with another lock.
+    pub(crate) signals: Mutex<KnownSignals>,
     pub(crate) ledger: Arc<LedgerClient>,
     pub(crate) newest_peer: Arc<NewestPeer>,
     pub(crate) retries: RetryOptions,
@@ -207,13 +216,13 @@
             };
             let selective = call.is_selective();
             let result = self.attempt_hedged(call, current, &server).await;
-            let busy = matches!(&result, Err(refused) if refused.reason == Reason::BusyNow);
+            let busy = matches!(&result, Err(refused) if is_offer_refusal(refused.reason));
             if selective && !busy {
                 call.tried.push(server.name.clone());
             }
             match result {
                 Ok(res) => return Ok(res),
-                Err(refused) if refused.reason == Reason::BusyNow && call.is_selective() => {
+                Err(refused) if is_offer_refusal(refused.reason) && call.is_selective() => {
                     if !call.stays_nearby(self.clock.now()) {
                         call.selective_offers -= 1;
                         call.busy.push(server.name.clone());
--- a/crates/cherrystream-daemon/src/outbound/retrying.rs
+++ b/crates/cherrystream-daemon/src/outbound/retrying.rs
@@ -23,6 +23,14 @@
         Ok(())
     }
 
+    /// Returns whether rate limits are expected to refuse a request at all backend servers.
+    fn all_limited(&self, call: &Call) -> bool {
+        let Some(balancer) = self.balancer(&call.service) else { return false };
+        let now = self.clock.now();
+        let table = &balancer.lock().table;
+        table.all_limited(now, &self.disallowed_servers(call, table))
+    }
+
     /// Returns `Ok` if the request may be retried, or else the final refusal.
     pub(super) fn decide_retry(&self, call: &mut Call, refused: Refused) -> Result<(), Refused> {
         // The inbound has a newer status of the suspect request: isolates it.
@@ -48,9 +56,11 @@
             max_arrivals: call.max_arrivals,
         };
         let label = metrics::label(refused.reason);
-        let may = self.balancer(&call.service).is_some_and(|balancer| {
-            retry::decide(failed, &mut balancer.lock().budget, &mut call.allowance)
-        });
+        let is_limited = refused.reason == Reason::OverServerLimit && self.all_limited(call);
+        let may = !is_limited
+            && self.balancer(&call.service).is_some_and(|balancer| {
+                retry::decide(failed, &mut balancer.lock().budget, &mut call.allowance)
+            });
         if may {
             self.metrics.retries.get_or_create(&label).inc();
             return Ok(());
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -54,6 +54,9 @@
             Err(refused) if refused.reason == Reason::BusyNow => {
                 s.on_busy(now, &call.class.kind, refused.retry_after);
             }
+            Err(refused) if refused.reason == Reason::OverServerLimit => {
+                s.on_token_wait(now, refused.retry_after);
+            }
             Err(refused) if is_queue_refusal(refused.reason) => {
                 // The queue must drain until its wait is within the wait of this request.
                 let busy_for = refused.retry_after.saturating_sub(max_wait);
@@ -108,10 +111,15 @@
     ) -> AttemptResult {
         let mut req = self.build_request(call)?;
         headers::set(req.headers_mut(), headers::ALLOWANCE, call.allowance.left());
+        let sent_at = self.clock.now();
         let answer = self.inbound.call(self.inbound_call(call, server, permits, req)).await;
+        self.on_signals(call, server, answer.signals.as_ref());
         if let Some(report) = answer.report {
             self.with_server(call, server, |s, now| s.on_report(now, report));
         }
+        if answer.signals.is_none() && answer.result.is_ok() {
+            self.on_no_signals(call, server, sent_at);
+        }
         answer.result
     }
 
@@ -140,6 +148,7 @@
             alone: call.alone,
             call: call.id.clone(),
             claimed: claimed.map(|(claimed, key)| (key, claimed)),
+            hint: self.signal_hint(call, server),
             req,
         }
     }
@@ -159,6 +168,7 @@
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
         let line = self.connect(call, &record.peer_address).await?;
+        let sent_at = self.clock.now();
         self.metrics.peer_calls.inc();
         let res = line.send(req).await.map_err(|e| {
             Refused::new(match e {
@@ -166,7 +176,12 @@
                 NoAnswer::Broke => Reason::PeerBroke,
             })
         })?;
-        self.read_answer(call, server, &record.peer_address, res)
+        let has_signals = res.headers().contains_key(headers::SIGNALS);
+        let result = self.read_answer(call, server, &record.peer_address, res);
+        if !has_signals && result.is_ok() {
+            self.on_no_signals(call, server, sent_at);
+        }
+        result
     }
 
     /// Returns a connection to a peer. Nothing of the request is sent meanwhile, so it has provably
@@ -230,6 +245,7 @@
             alone: call.alone,
         };
         hop::write_call(map, op, &target, &head);
+        hop::write_hint(map, self.signal_hint(call, server).as_ref());
         if let Some(Claimed { claim, index, incarnation }) = permits.claimed {
             headers::set_json(map, headers::CLAIM, &ClaimHeader { claim, index, incarnation });
         }
@@ -253,7 +269,7 @@
             return Err(refused);
         }
         let (mut parts, body) = res.into_parts();
-        headers::remove_own(&mut parts.headers);
+        headers::remove_own_from_answer(&mut parts.headers);
         parts.version = http::Version::HTTP_11;
         Ok(Response::from_parts(parts, body))
     }
@@ -278,6 +294,8 @@
         if let Some(report) = head.report.take() {
             self.with_server(call, server, |s, now| s.on_report(now, report));
         }
+        let signals = hop::read_signals(map, &call.service);
+        self.on_signals(call, server, signals.as_ref());
         Some(head)
     }
 
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -102,7 +102,9 @@
         };
         let id = call.call.clone();
         let answer = self.inbound.call(call).await;
-        hop::write_answer(id, answer.result, answer.report)
+        let mut res = hop::write_answer(id, answer.result, answer.report);
+        hop::write_signals(res.headers_mut(), answer.signals.as_ref());
+        res
     }
 
     async fn reserve(&self, req: Request<Incoming>) -> Response<Body> {
@@ -111,7 +113,9 @@
         };
         let id = call.call.clone();
         let reserved = self.inbound.reserve(call).await;
-        hop::write_reservation(id, reserved.result, reserved.report)
+        let mut res = hop::write_reservation(id, reserved.result, reserved.report);
+        hop::write_signals(res.headers_mut(), reserved.signals.as_ref());
+        res
     }
 
     fn read_call(&self, req: Request<Incoming>) -> Option<InboundCall> {
@@ -119,7 +123,8 @@
         let map = &parts.headers;
         let (aim, head) = hop::read_call(map)?;
         let service: Arc<str> = aim.service.into();
-        let server = aim.server.into();
+        let server: Arc<str> = aim.server.into();
+        let hint = hop::read_hint(map, &service, &server);
         let kind = aim.kind.into();
         let caller = aim.caller.map(Into::into);
         let workspace = aim.workspace.map(Into::into);
@@ -154,6 +159,7 @@
             alone: head.alone,
             call: head.call,
             claimed,
+            hint,
             req,
         })
     }
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -141,6 +141,7 @@
             peers: peers.clone(),
             quotas: quotas.clone(),
             suspects: suspects.clone(),
+            signals: Mutex::default(),
             ledger: Arc::new(LedgerClient::new(&control, cx.key.clone())),
             newest_peer: newest_peer.clone(),
             retries: RetryOptions {
--- a/crates/cherrystream-daemon/tests/successors.rs
+++ b/crates/cherrystream-daemon/tests/successors.rs
@@ -82,6 +82,7 @@
         alone: false,
         call: "call-1".into(),
         claimed: None,
+        hint: None,
         req: Request::new(body::empty()),
     }
 }
--- a/crates/cherrystream/tests/processes/limits.rs
+++ b/crates/cherrystream/tests/processes/limits.rs
@@ -2,6 +2,7 @@
 
 use super::support::client::{self, Ask};
 use super::support::site::{Daemon, Server, Site};
+use super::support::wait;
 use cherrystream_net::pool::Pool;
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
@@ -28,7 +29,7 @@
 
 /// Five hosts with one backend server each.
 struct Rig {
-    _site: Site,
+    site: Site,
     daemons: Vec<Daemon>,
     servers: Vec<Server>,
     /// Daemons that callers avoid while they are restarted.
@@ -40,6 +41,7 @@
 /// A request's end at its caller.
 struct Ended {
     at: Instant,
+    took: Duration,
     /// Whether the answer was complete, and whether it was that of a backend server.
     outcome: Option<bool>,
 }
@@ -73,7 +75,7 @@
         .map(|(server, samples)| tokio::spawn(sample(server.address.clone(), samples.clone())));
     let sampling = sampling.collect();
     let down = Arc::new((0..HOSTS).map(|_| AtomicBool::new(false)).collect());
-    Rig { _site: site, daemons, servers, down, samples, sampling }
+    Rig { site, daemons, servers, down, samples, sampling }
 }
 
 async fn sample(address: String, samples: Samples) {
@@ -146,7 +148,7 @@
     let ask = Ask::get(&format!("/work?work_ms={work_ms}")).service("quotes");
     let answer = client::send(&address, &ask).await;
     let outcome = answer.map(|answer| answer.outcome() == "answered");
-    Ended { at: sent, outcome }
+    Ended { at: sent, took: sent.elapsed(), outcome }
 }
 
 /// Returns the share of the requests sent between two times that a backend server answered.
@@ -188,3 +190,66 @@
     // The other three servers have free slots for all requests.
     assert!(served > 0.95, "{served:.3} of the requests were served");
 }
+
+/// Guards against a limited service being idle, answering late, or staying limited.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_whose_servers_are_all_limited_serves_their_sum() {
+    let rig = rig().await;
+    let (stop, callers) = rig.start_callers();
+    seconds(1.0).await;
+    let mut stated = Instant::now();
+    for server in 0..usize::from(HOSTS) {
+        stated = rig.state(server, limit()).await;
+    }
+    seconds(9.0).await;
+    let ending = Instant::now();
+    for server in 0..usize::from(HOSTS) {
+        rig.state(server, json!({})).await;
+    }
+    seconds(5.0).await;
+    let until = Instant::now();
+    stop.store(true, Ordering::Relaxed);
+    let ended = callers.await.unwrap();
+    let from = stated + Duration::from_secs(1);
+    let limited = served(&ended, from, ending);
+    let after = served(&ended, ending + Duration::from_secs(3), until);
+    let most: Vec<_> =
+        (0..usize::from(HOSTS)).map(|s| rig.most_in_window(s, from, ending)).collect();
+    let mut refusals: Vec<_> =
+        ended.iter().filter(|e| e.outcome == Some(false)).map(|e| e.took).collect();
+    refusals.sort_unstable();
+    let slow = refusals.get(refusals.len() * 95 / 100).copied().unwrap_or_default();
+    let closed = ended.iter().filter(|e| e.outcome.is_none()).count();
+    println!("most {most:?}, served {limited:.3}, then {after:.3}; refused in {slow:?}");
+    assert!(most.iter().all(|most| *most <= MAX_IN_WINDOW), "{most:?} in 4 s");
+    let allowed = (LIMIT * u64::from(HOSTS)) as f64 / f64::from(OFFERED_PER_SECOND);
+    assert!(limited >= 0.7 * allowed, "{limited:.3} served where the limits allow {allowed:.3}");
+    assert!(after >= 0.99, "{after:.3} served after the end of the limits");
+    assert!(slow < Duration::from_millis(500), "refusals took {slow:?}");
+    assert_eq!(closed, 0, "connections closed without an answer");
+}
+
+/// Guards against hiding from callers what a server states.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_receive_what_a_server_states() {
+    let rig = rig().await;
+    for server in 0..usize::from(HOSTS) {
+        rig.state(server, json!({"limit": "50.5", "leaving": false})).await;
+    }
+    for daemon in &rig.daemons {
+        let answer = daemon.call(&Ask::get("/work").service("quotes")).await.unwrap();
+        assert_eq!(answer.header("cherrystream-server-limit"), "50.5");
+    }
+    wait::until("an operator sees the limit", || async {
+        let mut stated = 0.0;
+        for daemon in &rig.daemons {
+            for server in 1..=HOSTS {
+                let name = format!("cherrystream_server_limit{{server=\"quotes-{server}\"}}");
+                stated += daemon.metric(&name).await;
+            }
+        }
+        (stated >= 50.5).then_some(())
+    })
+    .await;
+    assert!(rig.site.status().await.is_some());
+}
