A backend server that states its leaving gets no new requests, whatever its heartbeats say

What callers would see: requests to a server that has said that it leaves are cut off when it ends. Cause: nobody read the header; only reports and health checks closed a server, and a report that says live opened it again.

The inbound closes the server for new requests for good, and registers its instance in control's log as a reported drain; outbounds remember what they have passed on, avoid the server, and bring it along, so it holds after a restart of the daemon beside it, while control is away and with heartbeats that say ready. While a service has no other server, one that leaves is used for leaving_grace_s (the platform's drain bound). A listed server that does not register itself is tried again after a minute, since another run may have taken its name.

On the platform's path the word holds against heartbeats, and signals in an answer to another request are ignored.

--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -83,6 +83,8 @@
 pub struct Admission {
     opts: Options,
     state: ServerState,
+    /// Until when requests are admitted though the backend server has stated that it is leaving.
+    leaving_until: Option<Timestamp>,
     live_since: Timestamp,
     running: BTreeMap<Ticket, Running>,
     reserve: Reserve,
@@ -106,6 +108,7 @@
         Admission {
             opts,
             state: ServerState::Live,
+            leaving_until: None,
             live_since: Timestamp::default(),
             running: BTreeMap::new(),
             reserve: Reserve::default(),
@@ -178,7 +181,7 @@
         flow: Option<&Flow>,
     ) -> (Decision, Vec<Action>) {
         let mut actions = Vec::new();
-        if let Some(reason) = self.closed_reason() {
+        if let Some(reason) = self.closed_reason(now) {
             return (Decision::Refuse(self.refusal(reason)), actions);
         }
         let Some(remaining) = non_zero(arrival.deadline.since(now)) else {
@@ -447,12 +450,32 @@
         if state == ServerState::Live && was != ServerState::Live {
             self.live_since = now;
         }
-        match self.closed_reason() {
+        match self.closed_reason(now) {
             Some(reason) => self.refuse_waiting(now, reason),
             None => self.start_waiting(now),
         }
     }
 
+    /// Records that the backend server has stated that it is leaving, which is never taken back. For
+    /// `grace`, unless it was draining before, requests that no other server accepts are still
+    /// admitted; the caller decides which these are.
+    pub fn on_leaving(&mut self, now: Timestamp, grace: Duration) {
+        let is_live = self.state == ServerState::Live;
+        let until = if is_live { now + grace } else { now };
+        self.leaving_until.get_or_insert(until);
+    }
+
+    /// Forgets the rate limit and the leaving that an earlier run of the backend server stated.
+    pub fn forget_signals(&mut self, now: Timestamp) {
+        self.rate_limiter.set_limit(now, None);
+        self.leaving_until = None;
+    }
+
+    /// Returns whether the backend server is draining, by its state or by its own statement.
+    pub fn is_draining(&self) -> bool {
+        self.state == ServerState::Draining || self.leaving_until.is_some()
+    }
+
     /// Advances the time: refuses queued requests whose deadline expired, and starts those for
     /// which the slow start has added slots.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
@@ -464,7 +487,10 @@
             self.remove_unserved(now, key);
             actions.push(Action::Refuse(key.ticket, refusal));
         }
-        actions.extend(self.start_waiting(now));
+        match self.closed_reason(now) {
+            Some(reason) => actions.extend(self.refuse_waiting(now, reason)),
+            None => actions.extend(self.start_waiting(now)),
+        }
         actions
     }
 
@@ -489,7 +515,7 @@
             latency_us: micros(self.latency),
             oldest_us: micros(oldest),
             slowness: self.slowness.current(now),
-            state: self.state,
+            state: if self.is_draining() { ServerState::Draining } else { self.state },
             sequence: self.sequence,
             incarnation,
         }
@@ -510,12 +536,15 @@
         self.state
     }
 
-    fn closed_reason(&self) -> Option<Reason> {
-        match self.state {
-            ServerState::Live => None,
-            ServerState::Draining => Some(Reason::Draining),
-            ServerState::Starting | ServerState::Down => Some(Reason::BackendServerDown),
-        }
+    fn closed_reason(&self, now: Timestamp) -> Option<Reason> {
+        let is_open = match (self.state, self.leaving_until) {
+            (ServerState::Starting | ServerState::Down, _) => {
+                return Some(Reason::BackendServerDown);
+            }
+            (ServerState::Live | ServerState::Draining, Some(until)) => now < until,
+            (state, None) => state == ServerState::Live,
+        };
+        (!is_open).then_some(Reason::Draining)
     }
 
     fn slots_now(&self, now: Timestamp) -> u32 {
@@ -680,7 +709,7 @@
 
     fn start_waiting(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
-        while self.closed_reason().is_none()
+        while self.closed_reason(now).is_none()
             && let Some((key, waiting)) = self.next_to_start(now)
         {
             if waiting.deadline <= now {
--- a/crates/cherrystream-core/src/backpressure/known.rs
+++ b/crates/cherrystream-core/src/backpressure/known.rs
@@ -3,6 +3,7 @@
 //! The daemon beside a backend server forgets them when it is restarted; an outbound that has passed
 //! them on to callers still has to observe them.
 
+use super::UNREGISTERED_LEAVING_TTL;
 use super::signals::RateLimit;
 use crate::units::Timestamp;
 use std::collections::HashMap;
@@ -110,15 +111,23 @@
         self.entries.is_empty()
     }
 
-    /// Returns since when an instance is known to be leaving.
-    pub fn leaving_since(&self, instance: &InstanceKey) -> Option<Timestamp> {
-        self.entries.get(instance)?.leaving_since
+    /// Returns the instances that are known to be leaving, and since when.
+    pub fn leaving(&self) -> impl Iterator<Item = (&InstanceKey, Timestamp)> {
+        let leaving = |(instance, entry): (_, &Entry)| Some((instance, entry.leaving_since?));
+        self.entries.iter().filter_map(leaving)
     }
 
-    /// Returns what to send along with a request to an instance.
-    pub fn hint(&self, instance: &InstanceKey) -> Option<SignalHint> {
-        let Entry { limit, leaving_since, .. } = self.entries.get(instance)?;
-        let leaving = leaving_since.is_some();
+    /// Returns what to send along with a request to an instance. One that is not `registered` is
+    /// considered leaving for a limited time.
+    pub fn hint(
+        &self,
+        now: Timestamp,
+        instance: &InstanceKey,
+        registered: bool,
+    ) -> Option<SignalHint> {
+        let Entry { limit, leaving_since, last_listed_at, .. } = self.entries.get(instance)?;
+        let is_same_run = registered || now.since(*last_listed_at) < UNREGISTERED_LEAVING_TTL;
+        let leaving = leaving_since.is_some() && is_same_run;
         let is_useful = limit.is_some() || leaving;
         is_useful.then(|| SignalHint { instance: instance.clone(), limit: *limit, leaving })
     }
--- a/crates/cherrystream-core/src/backpressure/tracker.rs
+++ b/crates/cherrystream-core/src/backpressure/tracker.rs
@@ -4,6 +4,7 @@
 //! only by the answer to a request that was sent after the limit was last stated; it is lowered by
 //! any answer. That a backend server is leaving is never taken back.
 
+use super::UNREGISTERED_LEAVING_TTL;
 use super::signals::{RateLimit, Signals, Stated};
 use crate::units::Timestamp;
 
@@ -32,6 +33,8 @@
     /// When an answer last stated the limit.
     limit_stated_at: Timestamp,
     leaving: bool,
+    /// When it was last stated that the backend server is leaving.
+    leaving_stated_at: Timestamp,
     /// Whether the backend server has answered a request of this process.
     has_answered: bool,
     reported_unreadable_limit: bool,
@@ -71,7 +74,7 @@
         };
         let leaving = match signals.leaving {
             Stated::Absent | Stated::Value(false) => None,
-            Stated::Value(true) => self.on_leaving(),
+            Stated::Value(true) => self.on_leaving(now),
             Stated::Unreadable => once(&mut self.reported_unreadable_leaving)
                 .then_some(SignalChange::UnreadableLeaving),
         };
@@ -88,7 +91,7 @@
     ) -> Vec<SignalChange> {
         let limit = limit.filter(|_| !self.has_answered);
         let limit = limit.and_then(|limit| self.lower_limit(now, limit));
-        let leaving = if leaving { self.on_leaving() } else { None };
+        let leaving = if leaving { self.on_leaving(now) } else { None };
         limit.into_iter().chain(leaving).collect()
     }
 
@@ -97,6 +100,12 @@
         self.limit
     }
 
+    /// Returns whether the backend server last stated so long ago that it is leaving that another
+    /// run may have replaced it, unless it registers itself.
+    pub fn may_be_replaced(&self, now: Timestamp) -> bool {
+        self.leaving && now.since(self.leaving_stated_at) >= UNREGISTERED_LEAVING_TTL
+    }
+
     /// Returns whether the backend server is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving
@@ -132,7 +141,8 @@
         (from != to).then_some(SignalChange::Limit { from, to })
     }
 
-    fn on_leaving(&mut self) -> Option<SignalChange> {
+    fn on_leaving(&mut self, now: Timestamp) -> Option<SignalChange> {
+        self.leaving_stated_at = now;
         once(&mut self.leaving).then_some(SignalChange::Leaving)
     }
 }
--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -185,6 +185,28 @@
         Some(chosen.id.clone())
     }
 
+    /// Returns the names of the backend servers that are leaving and must not be used. If no other
+    /// one is in service, those that have been leaving for less than `grace` may be used.
+    pub fn closed_by_leaving(
+        &self,
+        now: Timestamp,
+        grace: Duration,
+        excluded: &[Arc<str>],
+    ) -> Vec<Arc<str>> {
+        let leaving = self.servers.iter().filter(|s| s.leaving_since(now).is_some());
+        let mut leaving = leaving.peekable();
+        if leaving.peek().is_none() {
+            return Vec::new();
+        }
+        let stays = |s: &Server| {
+            s.leaving_since(now).is_none() && !s.id.out && !excluded.contains(&s.id.name)
+        };
+        let grace = if self.servers.iter().any(stays) { Duration::ZERO } else { grace };
+        let is_over =
+            |s: &&Server| s.leaving_since(now).is_some_and(|since| now.since(since) >= grace);
+        leaving.filter(is_over).map(|s| s.id.name.clone()).collect()
+    }
+
     /// Returns the identities of all backend servers.
     pub fn ids(&self) -> impl Iterator<Item = &ServerId> {
         self.servers.iter().map(|server| &server.id)
--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -1,6 +1,7 @@
 //! State that an outbound keeps for one backend server.
 
 use super::refusals::Refusals;
+use crate::backpressure::UNREGISTERED_LEAVING_TTL;
 use crate::slowness;
 use crate::units::Timestamp;
 use cherrystream_schema::messages::{Report, ServerState};
@@ -76,6 +77,8 @@
     /// Unix time in milliseconds at which its instance started; 0 if not reported. A new instance
     /// starts with empty state.
     pub born_ms: u64,
+    /// Whether its instance registers itself. A new run of one that does not looks like the old one.
+    pub registered: bool,
 }
 
 impl ServerId {
@@ -99,6 +102,8 @@
     refusals: Refusals,
     /// When a stated rate limit lets the next request through.
     token_at: Timestamp,
+    /// Since when the backend server is known to be leaving.
+    leaving_since: Option<Timestamp>,
     next_call: u64,
 }
 
@@ -120,6 +125,7 @@
             backoff_until: Timestamp::default(),
             refusals: Refusals::default(),
             token_at: Timestamp::default(),
+            leaving_since: None,
             next_call: 0,
         }
     }
@@ -172,6 +178,25 @@
         self.token_at = self.token_at.max(now + wait.min(MAX_TOKEN_WAIT));
     }
 
+    /// Records since when the backend server is known to be leaving.
+    pub fn set_leaving(&mut self, now: Timestamp, since: Timestamp) {
+        self.leaving_since = Some(self.leaving_since(now).unwrap_or(since));
+    }
+
+    /// Returns since when the backend server is known to be leaving. If its instance does not
+    /// register itself, it is tried again after a time, as another run may have replaced it.
+    pub fn leaving_since(&self, now: Timestamp) -> Option<Timestamp> {
+        let may_be_replaced = |since: &Timestamp| {
+            !self.id.registered && now.since(*since) >= UNREGISTERED_LEAVING_TTL
+        };
+        self.leaving_since.filter(|since| !may_be_replaced(since))
+    }
+
+    /// Returns the identity of the backend server.
+    pub fn id(&self) -> &ServerId {
+        &self.id
+    }
+
     /// Returns how long a request is expected to be refused for the rate limit.
     pub fn limited_for(&self, now: Timestamp) -> Duration {
         self.token_at.since(now)
--- a/crates/cherrystream-core/src/settings.rs
+++ b/crates/cherrystream-core/src/settings.rs
@@ -151,6 +151,10 @@
             let what = format!("cold_over is {}", daemon.cold_over);
             return self.fail("cold_over", &what, "use a factor from 1 to 100");
         }
+        if !(0.0..=600.0).contains(&daemon.leaving_grace_s) {
+            let what = format!("leaving_grace_s is {}", daemon.leaving_grace_s);
+            return self.fail("leaving_grace_s", &what, "use 0 to 600 seconds");
+        }
         if !(0.0..=10_000.0).contains(&daemon.cold_slack) {
             let what = format!("cold_slack is {}", daemon.cold_slack);
             return self.fail("cold_slack", &what, "use 0 to 10000 requests");
--- a/crates/cherrystream-core/tests/decisions.rs
+++ b/crates/cherrystream-core/tests/decisions.rs
@@ -70,6 +70,7 @@
         out: false,
         crossing_cost: Duration::ZERO,
         born_ms: 0,
+        registered: true,
     }
 }
 
--- a/crates/cherrystream-daemon/src/health_checks.rs
+++ b/crates/cherrystream-daemon/src/health_checks.rs
@@ -49,6 +49,7 @@
         let now = cx.clock.now();
         inbound.expire_reservations();
         inbound.local_servers.record_limit_changes();
+        inbound.local_servers.record_forgotten_signals();
         if let Some(server) = inbound.local_servers.instance() {
             server.tick();
             // An instance of a leaving host receives no requests, so it needs no probes.
--- a/crates/cherrystream-daemon/src/inbound/mod.rs
+++ b/crates/cherrystream-daemon/src/inbound/mod.rs
@@ -145,7 +145,7 @@
             return InboundAnswer { result, report: None, signals: None };
         };
         self.local_servers.on_hint(&server, call.hint.as_ref());
-        let result = match self.check_ready().or_else(|| self.check_version(&server)) {
+        let result = match self.check_open(&server, &call) {
             Some(reason) => Err(self.refuse(reason)),
             None => self.forward(&server, call).await,
         };
@@ -171,7 +171,7 @@
             return Reserved { result, report: None, signals: None };
         };
         self.local_servers.on_hint(&server, call.hint.as_ref());
-        let result = match self.check_ready().or_else(|| self.check_version(&server)) {
+        let result = match self.check_open(&server, &call) {
             Some(reason) => Err(self.refuse(reason)),
             // A request that runs in isolation takes its place only once its body is here.
             None => match self.check_suspect(&server, &call) {
@@ -239,6 +239,12 @@
         (!is_configured).then_some(Reason::BusyNow).or_else(|| self.check_leaving())
     }
 
+    /// Returns why a backend server gets no new requests, if it gets none.
+    fn check_open(&self, server: &LocalServer, call: &InboundCall) -> Option<Reason> {
+        let closed = self.check_ready().or_else(|| self.check_version(server));
+        closed.or_else(|| check_leaving_server(server, call))
+    }
+
     /// Refuses requests to a version that was rolled back, and to a canary whose failures opened
     /// the circuit breaker or whose trial control has not confirmed lately: control could not roll
     /// it back then.
@@ -366,3 +372,11 @@
         Some(Flow { workspace, share })
     }
 }
+
+/// Refuses requests to a backend server that is leaving, except those whose sender knows that and
+/// has no other, and those that a slot was reserved for before.
+fn check_leaving_server(server: &LocalServer, call: &InboundCall) -> Option<Reason> {
+    let is_last_resort = call.hint.as_ref().is_some_and(|hint| hint.leaving);
+    let is_refused = !is_last_resort && call.reservation.is_none() && server.is_leaving();
+    is_refused.then_some(Reason::Draining)
+}
--- a/crates/cherrystream-daemon/src/instances.rs
+++ b/crates/cherrystream-daemon/src/instances.rs
@@ -7,7 +7,7 @@
 use cherrystream_net::interface::{
     CallInterface, Fault, ReportAnswer, ReportError, ReportErrorKind, Reported,
 };
-use cherrystream_schema::messages::{Instance, InstanceRecord, VersionTally};
+use cherrystream_schema::messages::{Instance, InstanceRecord, ServerState, VersionTally};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -191,6 +191,28 @@
         }
     }
 
+    /// Registers the instance as draining when it states in its answers that it is leaving, whatever
+    /// its reports say. Runs for as long as the process.
+    pub async fn follow_leaving(self: Arc<Self>) {
+        let mut leaving = self.local_servers.subscribe_leaving();
+        while leaving.changed().await.is_ok() {
+            self.register_leaving();
+        }
+    }
+
+    fn register_leaving(&self) {
+        let Some(server) = self.local_servers.instance().filter(|server| server.is_leaving())
+        else {
+            return;
+        };
+        let Some(instance) = self.current().filter(|instance| server.is_run_of(instance)) else {
+            return;
+        };
+        let draining = Instance { state: ServerState::Draining, ..instance };
+        self.tracker.lock().on_report(InstanceReport::Running(draining));
+        self.publish();
+    }
+
     fn update_server(&self) {
         let (current, is_new) = {
             let tracker = self.tracker.lock();
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -58,6 +58,10 @@
     pub version: Arc<str>,
     /// Unix time in milliseconds at which its instance started; 0 if not reported.
     pub born_ms: u64,
+    /// Whether its instance registers itself, so that a new run has another identity.
+    is_registered: bool,
+    /// Time for which it serves requests that no other server accepts, once it is leaving.
+    leaving_grace: Duration,
     /// Pool of connections to the backend server.
     pub backend: Pool,
     /// Rate limit of its health checks.
@@ -79,6 +83,9 @@
     /// Counts for the roll-out of the service that is in progress.
     rollout: RolloutRecord,
     signals: SignalTracker,
+    /// Whether signals of an earlier run were forgotten since the last call of
+    /// [`LocalServer::take_forgotten_signals`].
+    has_forgotten_signals: bool,
     /// When a change of the stated limit was last logged.
     limit_logged_at: Timestamp,
 }
@@ -101,6 +108,7 @@
             cold_service_times: ServiceTimes::default(),
             rollout: RolloutRecord::default(),
             signals: SignalTracker::default(),
+            has_forgotten_signals: false,
             limit_logged_at: Timestamp::default(),
         };
         let probe_budget = Mutex::new(ProbeBudget::new(probes_per_second));
@@ -109,6 +117,8 @@
             id,
             version: "".into(),
             born_ms: 0,
+            is_registered: false,
+            leaving_grace: Duration::ZERO,
             backend,
             probe_budget,
             clock,
@@ -125,7 +135,17 @@
     /// Sets the version and the start time of the instance.
     pub fn with_instance(self, instance: &Instance) -> LocalServer {
         let version = instance.version.as_str().into();
-        LocalServer { version, born_ms: instance.born_ms, ..self }
+        LocalServer { version, born_ms: instance.born_ms, is_registered: true, ..self }
+    }
+
+    /// Sets the time for which it serves requests that no other server accepts, once it is leaving.
+    pub fn with_leaving_grace(self, leaving_grace: Duration) -> LocalServer {
+        LocalServer { leaving_grace, ..self }
+    }
+
+    /// Returns whether the backend server has stated that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.inner.lock().signals.is_leaving()
     }
 
     /// Sets the roll-out of the service that is in progress, by its start in Unix milliseconds.
@@ -163,9 +183,9 @@
         self.crash_detector.lock()
     }
 
-    /// Returns whether the backend server reported that it drains.
+    /// Returns whether the backend server reported or stated that it is leaving.
     pub fn is_draining(&self) -> bool {
-        self.inner.lock().admission.state() == ServerState::Draining
+        self.inner.lock().admission.is_draining()
     }
 
     /// Replaces the fixed share of the slots by an adaptive concurrency limit, which may come from
@@ -339,8 +359,14 @@
             let changes = f(&mut inner.signals, now);
             let mut actions = Vec::new();
             for change in &changes {
-                if let SignalChange::Limit { to, .. } = change {
-                    actions.extend(inner.admission.set_rate_limit(now, *to));
+                match change {
+                    SignalChange::Limit { to, .. } => {
+                        actions.extend(inner.admission.set_rate_limit(now, *to));
+                    }
+                    SignalChange::Leaving => {
+                        inner.admission.on_leaving(now, self.leaving_grace);
+                    }
+                    SignalChange::UnreadableLimit | SignalChange::UnreadableLeaving => {}
                 }
             }
             (changes, actions)
@@ -369,6 +395,17 @@
         }
     }
 
+    /// Returns whether signals of an earlier run were forgotten since the last call.
+    pub fn take_forgotten_signals(&self) -> bool {
+        std::mem::take(&mut self.inner.lock().has_forgotten_signals)
+    }
+
+    /// Returns whether this is the run of the backend server that a report describes.
+    pub fn is_run_of(&self, report: &Instance) -> bool {
+        let is_named = *self.id.service == *report.service && *self.id.name == *report.id;
+        is_named && self.born_ms == report.born_ms
+    }
+
     /// Returns whether requests wait for the rate limit that the backend server states.
     pub fn waits_for_token(&self) -> bool {
         self.inner.lock().admission.waits_for_token()
@@ -450,7 +487,12 @@
 
     /// Handles the passage of time: refuses requests whose wait has expired and starts others.
     pub fn tick(self: &Arc<Self>) {
-        self.update(|inner, now| ((), inner.admission.tick(now)));
+        self.update(|inner, now| {
+            if !self.is_registered && inner.signals.may_be_replaced(now) {
+                inner.forget_signals(now);
+            }
+            ((), inner.admission.tick(now))
+        });
     }
 
     /// Returns the report that is attached to each answer.
@@ -460,6 +502,13 @@
 }
 
 impl Inner {
+    /// Forgets what an earlier run of the backend server stated.
+    fn forget_signals(&mut self, now: Timestamp) {
+        self.signals = SignalTracker::default();
+        self.admission.forget_signals(now);
+        self.has_forgotten_signals = true;
+    }
+
     /// Counts finished work for the roll-out in progress.
     fn count(&mut self, now: Timestamp, work: &Work, ending: Ending) {
         let slowness = u32::midpoint(work.slowness, self.admission.slowness(now));
--- a/crates/cherrystream-daemon/src/local_servers.rs
+++ b/crates/cherrystream-daemon/src/local_servers.rs
@@ -20,6 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Time of the slow start of a backend server.
 const SLOW_START: Duration = Duration::from_secs(2);
@@ -40,6 +41,8 @@
     pub cold_over: f64,
     /// Requests above that limit that are allowed within any second.
     pub cold_slack: f64,
+    /// Time for which a backend server that is leaving serves requests that no other one accepts.
+    pub leaving_grace: Duration,
 }
 
 /// The backend servers of this host by service and name.
@@ -61,6 +64,8 @@
     logged_misreports: Mutex<BTreeSet<ReportErrorKind>>,
     /// The instance that reports itself to this daemon.
     instance: RwLock<Option<CurrentInstance>>,
+    /// Number of backend servers that have stated that they are leaving.
+    leaving: watch::Sender<u64>,
 }
 
 /// The running instance that reports itself to this daemon.
@@ -99,6 +104,7 @@
             services: RwLock::default(),
             logged_misreports: Mutex::default(),
             instance: RwLock::default(),
+            leaving: watch::Sender::new(0),
         }
     }
 
@@ -171,7 +177,7 @@
         let name = ServerName::new(&report.service, &report.id);
         let opts = self.options(&report.service, report.slots);
         let server = LocalServer::new(name, self.pool(&report.address), opts, 0, self.clock);
-        let server = server.with_instance(report);
+        let server = server.with_instance(report).with_leaving_grace(self.opts.leaving_grace);
         self.init_concurrency_limit(&server, opts, previous);
         if is_new {
             server.on_new_instance();
@@ -280,7 +286,7 @@
         let opts = self.options(&name.service, backend_server.slots);
         let server = LocalServer::new(name.clone(), backend, opts, probes_per_second, self.clock);
         self.init_concurrency_limit(&server, opts, None);
-        server
+        server.with_leaving_grace(self.opts.leaving_grace)
     }
 
     /// Gives a new backend server an adaptive concurrency limit, if the settings ask for one. It
--- a/crates/cherrystream-daemon/src/local_servers/signals.rs
+++ b/crates/cherrystream-daemon/src/local_servers/signals.rs
@@ -6,6 +6,7 @@
 use cherrystream_core::units::Timestamp;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Shortest time between log lines about changes of the limit of one backend server.
 const MIN_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -31,6 +32,18 @@
         }
     }
 
+    /// Updates the metrics of backend servers that have restarted under their name.
+    pub fn record_forgotten_signals(&self) {
+        for server in self.listed().into_iter().filter(|s| s.take_forgotten_signals()) {
+            self.metrics.backpressure.on_replaced(&server.id.name);
+        }
+    }
+
+    /// Returns a receiver that is notified when a backend server states that it is leaving.
+    pub fn subscribe_leaving(&self) -> watch::Receiver<u64> {
+        self.leaving.subscribe()
+    }
+
     /// Handles what the sender of a request knows of a backend server. A hint on an earlier instance
     /// is ignored.
     pub fn on_hint(&self, server: &Arc<LocalServer>, hint: Option<&SignalHint>) {
@@ -55,7 +68,10 @@
             SignalChange::Limit { from, to } => {
                 log::info!("limit of {name}: {}, previously {}", describe(*to), describe(*from))
             }
-            SignalChange::Leaving => log::info!("{name} states that it is leaving"),
+            SignalChange::Leaving => {
+                log::info!("{name} states that it is leaving");
+                self.leaving.send_modify(|count| *count += 1);
+            }
             SignalChange::UnreadableLimit => log::warn!(
                 "{name} states a limit that cannot be read, which is ignored; it must send one \
                  decimal number of requests per second"
--- a/crates/cherrystream-daemon/src/outbound/canaries.rs
+++ b/crates/cherrystream-daemon/src/outbound/canaries.rs
@@ -82,7 +82,7 @@
         let mut balancer = balancer.lock();
         let ServiceBalancer { canary, rng, .. } = &mut *balancer;
         let table = &mut canary.as_mut()?.table;
-        let mut excluded = self.disallowed_servers(call, table);
+        let mut excluded = self.excluded_servers(call, table);
         excluded.extend(call.tried.iter().cloned());
         table.choose_free(now, rng, &excluded, &call.class.kind)
     }
--- a/crates/cherrystream-daemon/src/outbound/choosing.rs
+++ b/crates/cherrystream-daemon/src/outbound/choosing.rs
@@ -41,7 +41,7 @@
         let kind = call.class.kind.as_str();
         let mut balancer = balancer.lock();
         let ServiceBalancer { table, rng, .. } = &mut *balancer;
-        let mut excluded = self.disallowed_servers(call, table);
+        let mut excluded = self.excluded_servers(call, table);
         excluded.extend(call.tried.iter().cloned());
         let busy_for = match table.choose_nearby(now, rng, &excluded, kind) {
             Nearby::Free(server) => return Ok(Choice::Server(server)),
@@ -72,6 +72,7 @@
         if !disallowed.is_empty() && disallowed.len() == table.ids().count() {
             return Err(Refused::new(Reason::RegionNotAllowed));
         }
+        let disallowed = self.excluded_servers(call, table);
         if call.alone {
             let server = table.choose_isolated(now, call.identity.request, &disallowed);
             let server = server.ok_or(Refused::new(Reason::NoBackendServer))?;
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -112,6 +112,8 @@
     pub(crate) newest_peer: Arc<NewestPeer>,
     pub(crate) retries: RetryOptions,
     pub(crate) crossing_cost: Duration,
+    /// Time for which a backend server that is leaving is used if there is no other.
+    pub(crate) leaving_grace: Duration,
     pub(crate) request_log: RequestLog,
     pub(crate) interface: Arc<dyn CallInterface>,
     /// Whether requests without a matching route are refused.
--- a/crates/cherrystream-daemon/src/outbound/retrying.rs
+++ b/crates/cherrystream-daemon/src/outbound/retrying.rs
@@ -28,7 +28,7 @@
         let Some(balancer) = self.balancer(&call.service) else { return false };
         let now = self.clock.now();
         let table = &balancer.lock().table;
-        table.all_limited(now, &self.disallowed_servers(call, table))
+        table.all_limited(now, &self.excluded_servers(call, table))
     }
 
     /// Returns `Ok` if the request may be retried, or else the final refusal.
--- a/crates/cherrystream-daemon/src/outbound/server_lists.rs
+++ b/crates/cherrystream-daemon/src/outbound/server_lists.rs
@@ -40,6 +40,7 @@
             balancer.hedges.bound(MAX_SAVED_HEDGES);
         }
         drop(balancers);
+        self.apply_known_signals(current);
         self.peers.retain(|address| shared.hosts.values().any(|h| h.peer_address == address));
     }
 
@@ -66,6 +67,7 @@
                     out: shared::is_out(shared, &server.host),
                     crossing_cost: self.crossing_cost,
                     born_ms: 0,
+                    registered: false,
                 }
             };
             let ids = entry.backend_servers.iter().map(id).collect();
@@ -84,9 +86,27 @@
         for service in current.routes.iter().flat_map(|table| table.services.keys()) {
             lists.entry(service.as_str().into()).or_default();
         }
-        let live = |i: &&Instance| i.state == ServerState::Live;
+        self.add_instances_in_state(shared, ServerState::Live, lists);
+        let mut leaving = BTreeMap::new();
+        self.add_instances_in_state(shared, ServerState::Draining, &mut leaving);
+        // Servers that are leaving are of use only to a service that has no other.
+        for (service, ids) in leaving {
+            let list = lists.entry(service).or_default();
+            if list.is_empty() {
+                *list = ids;
+            }
+        }
+    }
+
+    fn add_instances_in_state(
+        &self,
+        shared: &Shared,
+        state: ServerState,
+        lists: &mut BTreeMap<Arc<str>, Vec<ServerId>>,
+    ) {
+        let in_state = |i: &&Instance| i.state == state;
         for (host, record) in &shared.instances {
-            let Some(instance) = Some(&record.instance).filter(live) else { continue };
+            let Some(instance) = Some(&record.instance).filter(in_state) else { continue };
             let id = ServerId {
                 name: instance.id.as_str().into(),
                 host: host.as_str().into(),
@@ -95,6 +115,7 @@
                 out: shared::is_out(shared, host),
                 crossing_cost: self.crossing_cost,
                 born_ms: instance.born_ms,
+                registered: true,
             };
             lists.entry(instance.service.as_str().into()).or_default().push(id);
         }
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -119,6 +119,7 @@
             metrics: cx.metrics.clone(),
         });
         let instances = Arc::new(Instances::new(local_servers, cx.interface.clone()));
+        tokio::spawn(instances.clone().follow_leaving());
         let quotas = Arc::new(Quotas::new(
             &record,
             quotas::tolerance(settings),
@@ -150,6 +151,7 @@
                 extra: settings.retry_extra,
             },
             request_log: RequestLog::default(),
+            leaving_grace: leaving_grace(settings),
             crossing_cost: Duration::from_secs_f64(settings.crossing_cost_ms / 1_000.0),
             interface: cx.interface.clone(),
             routes_only,
@@ -320,6 +322,10 @@
     }
 }
 
+fn leaving_grace(settings: &DaemonSettings) -> Duration {
+    Duration::from_secs_f64(settings.leaving_grace_s)
+}
+
 fn local_servers(
     record: &HostRecord,
     settings: &DaemonSettings,
@@ -332,6 +338,7 @@
         concurrency_limit: settings.room.unwrap_or(RoomKind::Fixed),
         cold_over: settings.cold_over,
         cold_slack: settings.cold_slack,
+        leaving_grace: leaving_grace(settings),
     };
     let host = record.host.as_str().into();
     LocalServers::new(host, opts, clock, cx.interface.id_header(), cx.metrics.clone())
--- a/crates/cherrystream-daemon/tests/reports.rs
+++ b/crates/cherrystream-daemon/tests/reports.rs
@@ -47,6 +47,7 @@
         concurrency_limit: RoomKind::Fixed,
         cold_over: 1.0,
         cold_slack: 1.0,
+        leaving_grace: std::time::Duration::ZERO,
     };
     Arc::new(LocalServers::new("own".into(), opts, Clock::default(), header, metrics))
 }
--- a/crates/cherrystream-daemon/tests/rooms.rs
+++ b/crates/cherrystream-daemon/tests/rooms.rs
@@ -20,6 +20,7 @@
         concurrency_limit,
         cold_over: 1.0,
         cold_slack: 1.0,
+        leaving_grace: std::time::Duration::ZERO,
     };
     let header = OwnInterface.id_header();
     LocalServers::new("own".into(), opts, Clock::default(), header, Metrics::default())
--- a/crates/cherrystream/tests/processes/limits.rs
+++ b/crates/cherrystream/tests/processes/limits.rs
@@ -21,6 +21,8 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Most requests of a limited server in a window: one and a half times its limit, and five.
 const MAX_IN_WINDOW: u64 = LIMIT * 4 * 3 / 2 + 5;
+/// Time after which a server that is leaving gets no request.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
 /// Interval of the samples of the servers' counts.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -120,14 +122,19 @@
         Instant::now()
     }
 
-    /// Ends the daemon beside a server with a signal and starts it again.
+    /// Ends the daemon beside a server with a signal and starts it again. Callers avoid it.
     async fn restart_daemon(&mut self, number: usize, signal: Signal) {
         self.down[number].store(true, Ordering::Relaxed);
         let daemon = &mut self.daemons[number];
         daemon.process.signal(signal);
         daemon.process.ended().await;
         daemon.restart();
-        daemon.serves("quotes").await;
+        self.site.in_force(&[&self.daemons[number]]).await;
+    }
+
+    /// Lets callers use a daemon again.
+    async fn use_daemon(&self, number: usize) {
+        self.daemons[number].serves("quotes").await;
         self.down[number].store(false, Ordering::Relaxed);
     }
 
@@ -141,6 +148,15 @@
         };
         inside.iter().enumerate().map(in_window).max().unwrap_or_default()
     }
+
+    /// Returns the requests that a server ran between two times.
+    fn runs_between(&self, server: usize, from: Instant, until: Instant) -> u64 {
+        let samples = self.samples[server].lock();
+        let mut runs =
+            samples.iter().filter(|(at, _)| (from..until).contains(at)).map(|(_, runs)| *runs);
+        let first = runs.next().unwrap_or_default();
+        runs.next_back().map_or(0, |last| last - first)
+    }
 }
 
 async fn call(address: String, work_ms: usize) -> Ended {
@@ -176,8 +192,10 @@
     rig.state(1, limit()).await;
     seconds(6.0).await;
     rig.restart_daemon(0, Signal::SIGTERM).await;
+    rig.use_daemon(0).await;
     seconds(3.0).await;
     rig.restart_daemon(1, Signal::SIGKILL).await;
+    rig.use_daemon(1).await;
     seconds(4.0).await;
     let until = Instant::now();
     stop.store(true, Ordering::Relaxed);
@@ -191,6 +209,48 @@
     assert!(served > 0.95, "{served:.3} of the requests were served");
 }
 
+/// Guards against origins that know of a server's leaving sending there, also after a restart beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_states_its_leaving_gets_no_requests() {
+    let mut rig = rig().await;
+    let (stop, callers) = rig.start_callers();
+    seconds(2.0).await;
+    let stated = rig.state(2, json!({"leaving": true})).await;
+    seconds(5.0).await;
+    rig.restart_daemon(2, Signal::SIGTERM).await;
+    seconds(3.0).await;
+    let until = Instant::now();
+    stop.store(true, Ordering::Relaxed);
+    let ended = callers.await.unwrap();
+    let late = rig.runs_between(2, stated + DRAIN_TIME, until);
+    let served = served(&ended, stated, until);
+    println!("late requests: {late}, served {served:.3}");
+    assert_eq!(late, 0, "requests later than {DRAIN_TIME:?} after it stated its leaving");
+    assert!(served > 0.95, "{served:.3} of the requests were served");
+}
+
+/// Guards against refusing requests while a server that leaves could still serve them, and against
+/// using it for longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_whose_servers_all_leave_is_served_for_the_grace_only() {
+    let rig = rig().await;
+    let (stop, callers) = rig.start_callers();
+    seconds(1.0).await;
+    let mut stated = Instant::now();
+    for server in 0..usize::from(HOSTS) {
+        stated = rig.state(server, json!({"leaving": true})).await;
+    }
+    seconds(5.0).await;
+    let until = Instant::now();
+    stop.store(true, Ordering::Relaxed);
+    let ended = callers.await.unwrap();
+    let grace = served(&ended, stated, stated + Duration::from_millis(1_500));
+    let late = served(&ended, stated + DRAIN_TIME, until);
+    println!("served {grace:.3} in the grace, {late:.3} after it");
+    assert!(grace >= 0.99, "{grace:.3} served in the grace");
+    assert_eq!(late, 0.0, "requests served after the grace");
+}
+
 /// Guards against a limited service being idle, answering late, or staying limited.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_whose_servers_are_all_limited_serves_their_sum() {
