The load in an answer counts only once the answer is known to belong to the request

What callers would see: a fast server that is passed over for the load in a late answer of another request or instance. Cause: the inbound read the load before it checked the answer. Found while reading what else a backend server says. The test on the platform's path failed before (slowness 1000 instead of 100) and passes.

--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -15,7 +15,7 @@
 use cherrystream_net::pool::{Connection, NoAnswer};
 use cherrystream_net::stall;
 use cherrystream_schema::messages::ServerState;
-use http::Response;
+use http::{Response, response};
 use http_body::Body as _;
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Reads what a backend server states about itself in its answer to a request sent at `sent_at`.
+    fn read_state(&self, server: &Arc<LocalServer>, sent_at: Timestamp, head: &response::Parts) {
+        if let Some(load) = self.interface.read_load(head) {
+            server.on_load(&load);
+        }
+        self.local_servers.on_signals(server, sent_at, &self.interface.read_signals(head));
+    }
+
     /// Checks that the answer belongs to the call. Frees the slot at the end of the answer.
     fn check_answer(
         &self,
@@ -107,13 +115,10 @@
     ) -> Result<Response<Body>, Refused> {
         let Sent { call, at, permit, at_work } = sent;
         let (mut parts, body) = res.into_parts();
-        if let Some(load) = self.interface.read_load(&parts) {
-            server.on_load(&load);
-        }
         match self.interface.read_execution(&parts, &call) {
             Execution::Ran => {}
             Execution::NotRun => {
-                self.local_servers.on_signals(server, at, &self.interface.read_signals(&parts));
+                self.read_state(server, at, &parts);
                 at_work.not_run();
                 return Err(self.refuse(Reason::BackendServerRefused));
             }
@@ -129,7 +134,7 @@
                 return Err(self.refuse(Reason::WrongCall));
             }
         }
-        self.local_servers.on_signals(server, at, &self.interface.read_signals(&parts));
+        self.read_state(server, at, &parts);
         headers::remove_hop_by_hop(&mut parts.headers);
         headers::remove_own_from_answer(&mut parts.headers);
         self.interface.remove_answer_head(&mut parts.headers);
