Soak: backend servers that state a limit or their leaving throughout a run

From the callers' records: requests that began at a daemon which had passed the statement on and was not interrupted since are counted, in each 4 s and after the drain time.

--- a/crates/cherrystream-standin/src/backend.rs
+++ b/crates/cherrystream-standin/src/backend.rs
@@ -59,6 +59,10 @@
     pub seed: u64,
     /// Path prefix of requests that crash the process.
     pub ends_on: Option<String>,
+    /// Rate limit that answers state, as text, unless the faults set one.
+    pub limit: Option<String>,
+    /// Whether answers state that the server is leaving.
+    pub leaving: bool,
 }
 
 impl Default for Options {
@@ -71,6 +75,8 @@
             distance: Duration::ZERO,
             seed: 1,
             ends_on: None,
+            limit: None,
+            leaving: false,
         }
     }
 }
@@ -232,12 +238,12 @@
     /// Adds the headers by which a server states its rate limit and that it is leaving.
     fn state_signals(&self, res: &mut Response<Body>) {
         let faults = self.faults.lock();
-        let limit =
-            faults.limit.as_deref().and_then(|limit| header::HeaderValue::from_str(limit).ok());
+        let limit = faults.limit.as_ref().or(self.opts.limit.as_ref());
+        let limit = limit.and_then(|limit| header::HeaderValue::from_str(limit).ok());
         if let Some(limit) = limit {
             res.headers_mut().insert(LIMIT_HEADER, limit);
         }
-        if faults.leaving {
+        if faults.leaving || self.opts.leaving {
             res.headers_mut().insert(LEAVING_HEADER, header::HeaderValue::from_static("1"));
         }
     }
--- a/crates/cherrystream-standin/src/main.rs
+++ b/crates/cherrystream-standin/src/main.rs
@@ -54,6 +54,12 @@
     /// path prefix of requests that crash this process shortly after their start
     #[argh(option)]
     ends_on: Option<String>,
+    /// requests a second that answers state as the limit of the server
+    #[argh(option)]
+    limit: Option<String>,
+    /// state in each answer that the server is leaving
+    #[argh(switch)]
+    leaving: bool,
 }
 
 /// Run a stand-in for the platform's list of hosts; PUT sets the list.
@@ -122,6 +128,8 @@
         work: Duration::from_micros(args.work_us),
         distance: Duration::from_micros(args.distance_us),
         ends_on: args.ends_on,
+        limit: args.limit,
+        leaving: args.leaving,
         ..Options::default()
     };
     Backend::new(opts, record).serve(listener, Phases::default()).await;
--- a/crates/cherrystream/tests/soak/cluster.rs
+++ b/crates/cherrystream/tests/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! The processes of one run, the relays between them, and the injection of faults.
 
+use crate::backpressure;
 use crate::crashing;
 use crate::keys;
 use crate::plan::{Fault, Hosts, Link, ProcessFault, Size};
@@ -83,6 +84,8 @@
     pub daemons: Vec<Daemon>,
     pub servers: Vec<Server>,
     hosts: Hosts,
+    /// Whether servers state a limit and their leaving.
+    pub states_backpressure: bool,
     relays: BTreeMap<Link, Vec<Relay>>,
     /// The network line of each host, in the direction towards the host.
     lines: BTreeMap<usize, Line>,
@@ -116,6 +119,7 @@
             daemons: Vec::new(),
             servers: Vec::new(),
             hosts,
+            states_backpressure: keyed && backpressure::is_in(seed, size),
             relays: BTreeMap::new(),
             lines: BTreeMap::new(),
             restarts: Vec::new(),
@@ -198,10 +202,11 @@
         let domain = ["a", "b", "c"][i % 3];
         let daemon = self.site.start_daemon_with(&host, domain, number, &opts);
         let name = format!("quotes-{i}");
-        let mut server = self.site.start_server(
-            &name,
-            &["--work-us", "4000", "--slots", SLOTS, "--ends-on", crashing::PATHS],
-        );
+        let mut args = vec!["--work-us", "4000", "--slots", SLOTS, "--ends-on", crashing::PATHS];
+        if self.states_backpressure {
+            args.extend(backpressure::server_options(i));
+        }
+        let mut server = self.site.start_server(&name, &args);
         let direct = server.address.clone();
         server.address = self.relay(Link::Server(i), &direct).await;
         self.site.put_server("quotes", &name, &host, &server).await;
--- a/crates/cherrystream/tests/soak/main.rs
+++ b/crates/cherrystream/tests/soak/main.rs
@@ -14,6 +14,7 @@
 #[path = "../processes/support/mod.rs"]
 mod support;
 
+mod backpressure;
 mod callers;
 mod checks;
 mod cluster;
@@ -203,6 +204,9 @@
     let observations = watching.join_all().await;
     cluster.check_running(size);
     violations.append(&mut checks::violations(&cluster, &records));
+    if cluster.states_backpressure {
+        violations.append(&mut backpressure::violations(&cluster, &records));
+    }
     if let Some(keys) = &keys {
         violations.append(&mut keys::violations(keys, &keyed_records, &checks::all_runs(&cluster)));
     }
