Idle connections are closed before their server does it

What callers would see: a request that crosses the server's close of an idle connection ends as unknown (502), and one that may not be repeated is lost. Cause: the pool kept every connection for four seconds, whatever the server announced in Keep-Alive. Found while going through what backend servers say and nobody reads. A connection is now used for three quarters of the announced time, four seconds at most.

--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::late_answers::{Exchanges, Filtered};
 use cherrystream_core::units::Timestamp;
-use http::{HeaderName, Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -16,6 +16,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
+/// Header in which a server announces how long it keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Maximum number of idle connections.
 const MAX_IDLE: usize = 64;
 /// Idle time after which a connection is closed, since the peer may be about to close it.
@@ -49,10 +51,16 @@
 /// closes it within milliseconds.
 const PROBE_CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Share of the time that a server announces to keep idle connections in which they are used. Closer
+/// to its end, a request may cross the server's close.
+const KEEP_ALIVE_SHARE: f64 = 0.75;
+
 struct Idle {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
     since: Timestamp,
+    /// Idle time after which it is closed.
+    timeout: Duration,
 }
 
 /// Connections to one address.
@@ -160,7 +168,7 @@
     fn take_idle(&self) -> Option<Idle> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
-        idle.retain(|i| !i.sender.is_closed() && now.since(i.since) < IDLE_TIMEOUT);
+        idle.retain(|i| !i.sender.is_closed() && now.since(i.since) < i.timeout);
         let ready = idle.iter().rposition(|i| i.sender.is_ready())?;
         Some(idle.remove(ready))
     }
@@ -179,12 +187,24 @@
     fn watch(self, res: Response<hyper::body::Incoming>) -> Response<Body> {
         let (parts, incoming) = res.into_parts();
         let Connection { sender, exchanges, idle, clock } = self;
+        let timeout = idle_timeout(&parts.headers);
         let body = Watched::watch(body::incoming(incoming), move |ending| {
             let mut idle = idle.lock();
             if ending == Ending::Whole && idle.len() < MAX_IDLE {
-                idle.push(Idle { sender, exchanges, since: clock.now() });
+                idle.push(Idle { sender, exchanges, since: clock.now(), timeout });
             }
         });
         Response::from_parts(parts, body)
     }
 }
+
+/// Returns how long a connection may be idle, by the `Keep-Alive` header of its last response.
+fn idle_timeout(headers: &HeaderMap) -> Duration {
+    let announced = headers.get(KEEP_ALIVE).and_then(|value| {
+        let parameters = value.to_str().ok()?.split(',');
+        let mut timeout =
+            parameters.filter_map(|parameter| parameter.trim().strip_prefix("timeout="));
+        timeout.next()?.parse().ok().map(Duration::from_secs)
+    });
+    announced.map_or(IDLE_TIMEOUT, |time| time.mul_f64(KEEP_ALIVE_SHARE).min(IDLE_TIMEOUT))
+}
