--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -312,7 +312,7 @@
     /// Records a probe of the health endpoint, which counts as a request.
     pub fn on_probe_sent(&mut self, now: Timestamp) {
         self.cold_rate_limit.on_sent(now);
-        self.rate_limiter.on_sent(now);
+        self.rate_limiter.on_probe_sent(now);
     }
 
     /// Sets or ends the rate limit that the backend server states.
--- a/crates/cherrystream-core/src/backpressure/limiter.rs
+++ b/crates/cherrystream-core/src/backpressure/limiter.rs
@@ -55,6 +55,14 @@
         self.bucket.charge(1.0);
     }
 
+    /// Records a health probe. It takes a token that is left, and never one that is not yet due:
+    /// probes must not keep requests from a server.
+    pub fn on_probe_sent(&mut self, now: Timestamp) {
+        let Some(limit) = self.limit else { return };
+        self.bucket.refill(now, size(limit));
+        self.bucket.charge(self.bucket.level().clamp(0.0, 1.0));
+    }
+
     /// Returns whether one more request may be sent; `unsent` ones were admitted and are not sent
     /// yet.
     pub fn allows(&mut self, now: Timestamp, unsent: usize) -> bool {
--- a/crates/cherrystream-core/tests/backpressure/limiter.rs
+++ b/crates/cherrystream-core/tests/backpressure/limiter.rs
@@ -121,6 +121,17 @@
     assert!(matches!(admission.arrive(now, arrival(now)).0, Decision::Run(_)));
 }
 
+/// Guards against the health probes of a limited server taking all that it accepts for long.
+#[test]
+fn probes_leave_no_debt() {
+    let mut admission = admission();
+    admission.set_rate_limit(at(0), limit(1_000));
+    for millis in 0..1_000 {
+        admission.on_probe_sent(at(millis));
+    }
+    assert_eq!(offer(&mut admission, 1_000..2_001, 1).len(), 1);
+}
+
 /// Guards against refused requests returning all at once, or being told a time before the next token.
 #[test]
 fn refused_requests_are_told_to_return_one_after_the_other() {
--- a/crates/cherrystream-daemon/src/lib.rs
+++ b/crates/cherrystream-daemon/src/lib.rs
@@ -5,7 +5,8 @@
 //! configuration, tables of backend servers, the backend servers of this host, the admission of one
 //! of them, attempts. The cache of encoded updates and the last state that control announced are
 //! never locked together with another lock. The configuration of the quotas is locked before their
-//! policy, and both never together with another lock.
+//! policy, and both never together with another lock. The signals that an outbound knows of are
+//! locked last.
 
 #![forbid(unsafe_code)]
 
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -106,7 +106,7 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) quotas: Arc<Quotas>,
     pub(crate) suspects: Arc<SuspectTracker>,
-    /// Signals of backend servers. Never locked together with another lock.
+    /// Signals of backend servers. Locked last.
     pub(crate) signals: Mutex<KnownSignals>,
     pub(crate) ledger: Arc<LedgerClient>,
     pub(crate) newest_peer: Arc<NewestPeer>,
