--- a/crates/cherrystream-core/src/admission/mod.rs
+++ b/crates/cherrystream-core/src/admission/mod.rs
@@ -370,9 +370,11 @@
     ) -> Option<Refusal> {
         let ahead = self.ahead(rank);
         let wait = self.rate_limiter.wait(now, ahead)?;
-        let useful_for = arrival.good_until.map_or(remaining, |until| until.since(now));
-        let max_wait = if rank.nested { useful_for } else { MAX_TOKEN_WAIT };
-        (wait > max_wait.min(remaining)).then(|| self.over_limit(now, ahead))
+        let max_wait = match rank.nested {
+            true => useful_for(now, arrival, remaining),
+            false => MAX_TOKEN_WAIT.min(remaining),
+        };
+        (wait > max_wait).then(|| self.over_limit(now, ahead))
     }
 
     /// Returns whether the stated rate limit lets a request through.
@@ -395,8 +397,7 @@
         remaining: Duration,
     ) -> Option<Refusal> {
         let wait = self.cold_wait(now, rank)?;
-        let useful_for = arrival.good_until.map_or(remaining, |until| until.since(now));
-        let max_wait = if rank.nested { useful_for.min(remaining) } else { remaining };
+        let max_wait = if rank.nested { useful_for(now, arrival, remaining) } else { remaining };
         (wait > max_wait).then_some(Refusal { reason: Reason::ServerCold, retry_after: wait })
     }
 
@@ -726,6 +727,11 @@
     }
 }
 
+/// Returns how long the answer to a request is useful to its parent, at most until the deadline.
+fn useful_for(now: Timestamp, arrival: &Arrival, remaining: Duration) -> Duration {
+    arrival.good_until.map_or(remaining, |until| until.since(now)).min(remaining)
+}
+
 fn non_zero(d: Duration) -> Option<Duration> {
     (!d.is_zero()).then_some(d)
 }
--- a/crates/cherrystream-core/src/choose/mod.rs
+++ b/crates/cherrystream-core/src/choose/mod.rs
@@ -152,6 +152,9 @@
     /// Returns the backend server whose rate limit lets a request through first, if all that accept
     /// work are limited.
     fn first_token(&self, now: Timestamp, excluded: &[Arc<str>]) -> Option<ServerId> {
+        if self.servers.iter().all(|s| s.limited_for(now).is_zero()) {
+            return None;
+        }
         let open = candidates(&self.servers, now, excluded, |_| true);
         let first = open.into_iter().min_by_key(|s| s.limited_for(now))?;
         (!first.limited_for(now).is_zero()).then(|| first.id.clone())
--- a/crates/cherrystream-daemon/src/outbound/choosing.rs
+++ b/crates/cherrystream-daemon/src/outbound/choosing.rs
@@ -68,11 +68,11 @@
         }
         let mut balancer = balancer.lock();
         let ServiceBalancer { table, rng, .. } = &mut *balancer;
-        let disallowed = self.disallowed_servers(call, table);
+        let mut disallowed = self.disallowed_servers(call, table);
         if !disallowed.is_empty() && disallowed.len() == table.ids().count() {
             return Err(Refused::new(Reason::RegionNotAllowed));
         }
-        let disallowed = self.excluded_servers(call, table);
+        self.add_leaving_servers(table, &mut disallowed);
         if call.alone {
             let server = table.choose_isolated(now, call.identity.request, &disallowed);
             let server = server.ok_or(Refused::new(Reason::NoBackendServer))?;
--- a/crates/cherrystream-daemon/src/outbound/signals.rs
+++ b/crates/cherrystream-daemon/src/outbound/signals.rs
@@ -35,11 +35,17 @@
     /// those that are leaving.
     pub(super) fn excluded_servers(&self, call: &Call, table: &ServerTable) -> Vec<Arc<str>> {
         let mut excluded = self.disallowed_servers(call, table);
-        let now = self.clock.now();
-        excluded.extend(table.closed_by_leaving(now, self.leaving_grace, &excluded));
+        self.add_leaving_servers(table, &mut excluded);
         excluded
     }
 
+    /// Adds the backend servers that must not be used because they are leaving.
+    pub(super) fn add_leaving_servers(&self, table: &ServerTable, excluded: &mut Vec<Arc<str>>) {
+        let now = self.clock.now();
+        let leaving = table.closed_by_leaving(now, self.leaving_grace, excluded);
+        excluded.extend(leaving);
+    }
+
     /// Marks the backend servers that are known to be leaving, after the lists have changed.
     pub(super) fn apply_known_signals(&self, current: &CurrentConfig) {
         let now = self.clock.now();
