A plan is accepted although others change unrelated items between plan and confirmation

What operators saw: confirm was refused with "the configuration changed since this plan was made" nearly every time while anybody else changed anything; with half a second to read a plan it was never accepted beside 46 changes a second.

Cause: a confirmation compared the plan's base with the revision of the whole configuration, whatever had changed, and nothing bounded the tries.

Change: when a confirmation conflicts, the leader rebases the plan if none of the changes since its base touches an item of the plan and the outline is the one that was shown, and confirms it again; no other plan is confirmed meanwhile. The commands of the log and the rule that replicas apply are unchanged, so replicas of both releases hold the same state. A conflict names the changes that affect the plan.

--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -30,6 +30,9 @@
 /// Timeout of the query for the daemons that another replica has seen. All replicas are queried
 /// concurrently; the response grows with the number of daemons.
 const DAEMONS_QUERY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum number of times that a plan is rebased in one call. One suffices unless the platform
+/// changes the configuration at the same time.
+const MAX_REBASES: usize = 5;
 /// Time without a message after which a control replica is considered unreachable.
 const REPLICA_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -42,6 +45,8 @@
     pub connections: Arc<BTreeMap<u64, Arc<ReplicaConnection>>>,
     /// Daemons that send heartbeats to this replica.
     pub reach: Arc<DaemonRegistry>,
+    /// Held while a plan is confirmed, exclusively while one is rebased.
+    pub confirmations: Arc<tokio::sync::RwLock<()>>,
 }
 
 impl Operators {
@@ -143,7 +148,7 @@
         if let Err(e) = self.handle.read().await {
             return no_result(e);
         }
-        let plan = match self.outline(call, intent) {
+        let plan = match self.outline(call, &intent) {
             Ok(plan) => plan,
             Err(e) => return core_error(&e),
         };
@@ -157,20 +162,20 @@
         }
     }
 
-    fn outline(&self, call: &OperatorCall, intent: Intent) -> Result<Plan, Error> {
+    fn outline(&self, call: &OperatorCall, intent: &Intent) -> Result<Plan, Error> {
         let state = self.handle.state.read();
         // A retried intent returns its existing plan, even if it would change nothing by now.
         let existing = call.request_key.as_deref().and_then(|k| state.plan_of(&call.operator, k));
         let outline = match existing {
             Some(_) => plan::Outline::default(),
             None => {
-                plan::outline(state.shared(), &plan::with_start_time(&intent, clock::unix_ms()))?
+                plan::outline(state.shared(), &plan::with_start_time(intent, clock::unix_ms()))?
             }
         };
         Ok(Plan {
             id: uuid::Uuid::new_v4().simple().to_string()[..12].into(),
             operator: call.operator.clone(),
-            intent,
+            intent: intent.clone(),
             base_revision: state.config_revision(),
             steps: outline.steps,
             warnings: outline.warnings,
@@ -191,19 +196,59 @@
     }
 
     async fn confirm(&self, id: &str) -> OperatorAnswer {
-        let command = Command::Confirm { plan: id.into(), at_ms: clock::unix_ms() };
-        match self.handle.propose(command).await {
+        let at_ms = clock::unix_ms();
+        let command = Command::Confirm { plan: id.into(), at_ms };
+        let first = {
+            let _shared = self.confirmations.read().await;
+            self.handle.propose(command.clone()).await
+        };
+        let outcome = match first {
+            Ok(Applied::Confirmed(Err(Error::Conflict { .. }))) => {
+                self.confirm_alone(command, id, at_ms).await
+            }
+            outcome => outcome,
+        };
+        match outcome {
             Ok(Applied::Confirmed(Ok(revision))) => {
                 let revision = DisplayRevision(revision).to_string();
                 let reply = ConfirmReply { plan: id.into(), revision, state: "accepted".into() };
                 json(200, &reply)
             }
-            Ok(Applied::Confirmed(Err(e))) => core_error(&e),
+            Ok(Applied::Confirmed(Err(e))) => {
+                log::info!("control: plan {id} is not accepted: {e}");
+                core_error(&e)
+            }
             Ok(_) => unknown_outcome(),
             Err(e) => no_result(e),
         }
     }
 
+    /// Confirms a plan whose base is outdated, after rebasing it. No other plan is confirmed
+    /// meanwhile, so that a plan which nobody else's change affects is accepted however often the
+    /// others change something.
+    async fn confirm_alone(
+        &self,
+        command: Command,
+        id: &str,
+        at_ms: u64,
+    ) -> Result<Applied, NoResult> {
+        let _alone = self.confirmations.write().await;
+        let mut outcome = self.handle.propose(command.clone()).await?;
+        for _ in 0..MAX_REBASES {
+            let Applied::Confirmed(Err(Error::Conflict { .. })) = outcome else { break };
+            let plan = match self.handle.state.read().rebase_plan(id, at_ms) {
+                Ok(plan) => plan,
+                Err(e) => return Ok(Applied::Confirmed(Err(e))),
+            };
+            let base = DisplayRevision(plan.base_revision);
+            log::debug!("control: plan {id} is rebased to {base}");
+            let rebase = self.handle.propose(Command::PutPlan { plan });
+            let (_, confirmed) = tokio::join!(biased; rebase, self.handle.propose(command.clone()));
+            outcome = confirmed?;
+        }
+        Ok(outcome)
+    }
+
     async fn config(&self) -> OperatorAnswer {
         if let Err(e) = self.handle.read().await {
             return no_result(e);
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -98,6 +98,7 @@
             handle: handle.clone(),
             connections: connections.clone(),
             reach: reach.clone(),
+            confirmations: Arc::default(),
         };
         let limits =
             LedgerLimits { window_ms: settings.key_window_ms, max_keys: settings.keys_at_most };
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod errors;
 pub mod health;
 pub mod instances;
+mod intent_scope;
 pub mod kinds;
 pub mod ledger;
 pub mod log_budget;
--- a/crates/cherrystream-core/src/state/changes.rs
+++ b/crates/cherrystream-core/src/state/changes.rs
@@ -2,10 +2,11 @@
 
 use super::ControlState;
 use crate::distribution;
+use crate::intent_scope;
 use crate::plan;
 use crate::shared;
 use crate::units::{DisplayRevision, Revision};
-use cherrystream_schema::messages::{Change, NumberedChange, Update};
+use cherrystream_schema::messages::{Change, Intent, NumberedChange, Update};
 
 /// Maximum number of retained changes.
 const MAX_CHANGES: usize = 4_096;
@@ -69,14 +70,26 @@
 
     /// Describes the changes by operators after a revision.
     pub(super) fn changes_since(&self, base: Revision) -> String {
-        let describe = |c: &NumberedChange| match &c.change {
-            Change::Operator { intent } if c.revision > base => {
-                Some(format!("{} at {}", plan::describe(intent), DisplayRevision(c.revision)))
-            }
+        describe(self.intents_since(base))
+    }
+
+    /// Describes the changes by operators after a revision that affect an intent; `None` if no
+    /// change does. If some of them are no longer retained, all are described.
+    pub(super) fn changes_affecting(&self, intent: &Intent, base: Revision) -> Option<String> {
+        if base < self.changes_after {
+            return Some(self.changes_since(base));
+        }
+        let affects = |(_, other): &(Revision, &Intent)| intent_scope::overlap(intent, other);
+        let mut affecting = self.intents_since(base).filter(affects).peekable();
+        affecting.peek()?;
+        Some(describe(affecting))
+    }
+
+    fn intents_since(&self, base: Revision) -> impl Iterator<Item = (Revision, &Intent)> {
+        self.newer_than(base).filter_map(|numbered| match &numbered.change {
+            Change::Operator { intent } => Some((numbered.revision, intent)),
             _ => None,
-        };
-        let changes: Vec<String> = self.changes.iter().filter_map(describe).collect();
-        if changes.is_empty() { "too long ago to list".into() } else { changes.join(", ") }
+        })
     }
 
     /// Returns which update a daemon at revision `held` needs.
@@ -123,3 +136,11 @@
         self.changes.range(first..)
     }
 }
+
+fn describe<'a>(changes: impl Iterator<Item = (Revision, &'a Intent)>) -> String {
+    let describe = |(revision, intent): (Revision, &Intent)| {
+        format!("{} at {}", plan::describe(intent), DisplayRevision(revision))
+    };
+    let changes: Vec<String> = changes.map(describe).collect();
+    if changes.is_empty() { "too long ago to list".into() } else { changes.join(", ") }
+}
--- a/crates/cherrystream-core/src/state/plans.rs
+++ b/crates/cherrystream-core/src/state/plans.rs
@@ -37,9 +37,9 @@
     fn drop_old_plans(&mut self) {
         while self.plan_order.len() > MAX_PLANS {
             let Some(id) = self.plan_order.pop_front() else { return };
-            if let Some(key) = self.plans.remove(&id).as_ref().and_then(request_key) {
-                self.requests.remove(&key);
-            }
+            self.plans.remove(&id);
+            // A rebased plan has no key of its own.
+            self.requests.retain(|_, plan| *plan != id);
         }
     }
 
@@ -70,6 +70,32 @@
         Ok(at)
     }
 
+    /// Returns an unconfirmed plan with the current revision as its base, if it still does what its
+    /// operator was shown and none of the changes since its base affects it.
+    ///
+    /// The leader records the returned plan and confirms it again. [`Command::Confirm`] itself only
+    /// compares revisions, so that replicas of different releases apply it alike.
+    ///
+    /// [`Command::Confirm`]: cherrystream_schema::messages::Command::Confirm
+    ///
+    /// # Errors
+    ///
+    /// Fails if the plan is missing, or affected by the changes since its base.
+    pub fn rebase_plan(&self, id: &str, at_ms: u64) -> Result<Plan> {
+        let plan = self.plan(id)?;
+        if let Some(changes) = self.changes_affecting(&plan.intent, plan.base_revision) {
+            return Err(Error::Conflict { changes });
+        }
+        let intent = plan::with_start_time(&plan.intent, at_ms);
+        let is_as_shown = plan::outline(&self.shared, &intent)
+            .is_ok_and(|now| now.steps == plan.steps && now.warnings == plan.warnings);
+        if !is_as_shown {
+            return Err(Error::Conflict { changes: self.changes_since(plan.base_revision) });
+        }
+        // With its idempotency key, the recorded plan would be returned instead of replaced.
+        Ok(Plan { base_revision: self.config_revision, request_key: None, ..plan.clone() })
+    }
+
     /// Returns a plan.
     ///
     /// # Errors
