"Nothing to change" holds after changes that are still being replicated

What operators saw: a confirmation got no answer, control answered 404 to the revocation of the key, and the key was in force some seconds later.

Cause: an intent was compared with the state at a confirmed read, which covers what is committed. Heartbeats confirm a read while entries before it wait behind a large table on a slow link.

With this change the revocation gets a plan. Before an intent is refused, the leader commits an empty entry and compares again, so every earlier proposal is applied.

--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -150,7 +150,17 @@
         }
         let plan = match self.outline(call, &intent) {
             Ok(plan) => plan,
-            Err(e) => return core_error(&e),
+            Err(_) => {
+                // A change whose outcome its operator does not know may be proposed but not
+                // committed. The answer that there is nothing to change must hold after it.
+                if let Err(e) = self.handle.barrier().await {
+                    return no_result(e);
+                }
+                match self.outline(call, &intent) {
+                    Ok(plan) => plan,
+                    Err(e) => return core_error(&e),
+                }
+            }
         };
         match self.handle.propose(Command::PutPlan { plan }).await {
             Ok(Applied::Planned(planned)) => match *planned {
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -9,6 +9,10 @@
 mod limits;
 mod once;
 mod operators;
+// Shared with the soak test, which uses more of it.
+#[allow(dead_code)]
+#[path = "../../../../platform/tests/support/orders.rs"]
+mod orders;
 mod path;
 mod peers;
 mod places;
--- a/crates/cherrystream/tests/processes/operators.rs
+++ b/crates/cherrystream/tests/processes/operators.rs
@@ -1,7 +1,9 @@
 //! Operators: plans, confirmations, races, retries, and the effect on running daemons.
 
+use super::orders;
 use super::path;
 use super::support::client::{self, Ask};
+use super::support::relay::{Mode, Relay};
 use super::support::site::Site;
 use super::support::wait;
 use cherrystream_core::workspaces;
@@ -122,6 +124,64 @@
     accepted
 }
 
+/// Rate of the links between control replicas, in bytes per second.
+const SLOW_LINK: u64 = 170_000;
+/// Number of routes of a table that occupies a slow link for seconds.
+const LARGE_TABLE: usize = 4_000;
+/// Time after which a client gives up waiting for an answer.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// Guards against an answer that there is nothing to change, while a change whose confirmation got
+/// no answer is still being replicated and takes effect later.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_to_change_holds_after_changes_that_are_still_being_replicated() {
+    let mut site = Site::new(3);
+    site.control_top_lines.push("interface: platform".into());
+    let mut relays = Vec::new();
+    for (from, to) in [(1, 2), (1, 3), (2, 1), (2, 3), (3, 1), (3, 2)] {
+        let relay = Relay::start(&site.address(0), &site.rpc(to)).await;
+        relay.set(Mode::Rate(SLOW_LINK));
+        site.control_lines.push(((from, to), relay.address.clone()));
+        relays.push(relay);
+    }
+    (1..=3).for_each(|replica| site.start_control(replica));
+    let leader = site.leader().await;
+    site.accept(json!({"intent": "put-workspace", "workspace": "mine"})).await;
+    let api = site.api(leader);
+    let key = json!({"workspace": "mine", "key_digest": workspaces::digest("key")});
+    let with_intent = |name: &str| {
+        let mut intent = key.clone();
+        intent["intent"] = name.into();
+        intent
+    };
+    let plan = planned(&site, &api, &with_intent("add-key")).await;
+    let route = |n| orders::RouteLine {
+        name: format!("route-{n}"),
+        host: format!("host-{n}.test"),
+        path_prefix: format!("/{n}/"),
+        repeatable: true,
+        timeout_s: 3,
+        attempts: 3,
+    };
+    let table = orders::table(1, "quotes", (0..LARGE_TABLE).map(route));
+    let replace = Ask::post(orders::REPLACE, table);
+    let replacing = client::send(&api, &replace);
+    let changing = async {
+        tokio::time::sleep(PATIENCE).await;
+        let _ = tokio::time::timeout(PATIENCE, site.confirm(&api, &plan)).await;
+        site.intend(&api, &with_intent("revoke-key")).await
+    };
+    let (_, revoked) = tokio::join!(replacing, changing);
+    let status = revoked.map_or(0, |answer| answer.status.as_u16());
+    let config: Value = wait::until("the added key is read", || async {
+        let config = client::send(&api, &Ask::get("/v1/config")).await?;
+        (config.status == 200).then(|| config.json())
+    })
+    .await;
+    let held = config["config"]["workspaces"]["mine"]["key_digests"].as_array().unwrap().len();
+    assert_ne!((status, held), (404, 1), "no such key was held, and now it is: {config}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_intent_and_confirmation_receive_the_same_reply_after_a_leader_change() {
     let mut site = Site::with_control(3).await;
