Confirmations without an outcome are sent again, by the command line and by the soak's operator of keys

What operators saw: confirm ended with an error while control elected a leader, and it was left to them to find out whether the plan was accepted. The operator of the soak made a new plan instead of sending the same confirmation again as the error asks, so it could take a change for settled whose first confirmation was still on its way.

In the soak the checks and bounds are unchanged: its operator follows the remedy, and a failed settlement now says what control and the daemons answered, so that hypotheses can be told apart.

--- a/crates/cherrystream/src/api_client.rs
+++ b/crates/cherrystream/src/api_client.rs
@@ -6,7 +6,7 @@
 use cherrystream_net::key::Secret;
 use cherrystream_net::pool::Pool;
 use cherrystream_schema::messages::ErrorReply;
-use http::{Method, Request, header};
+use http::{Method, Request, StatusCode, header};
 use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -91,6 +91,9 @@
             return serde_json::from_slice(&bytes).map_err(|_| no_answer());
         }
         match serde_json::from_slice::<ErrorReply>(&bytes) {
+            Ok(ErrorReply { error, remedy }) if status == StatusCode::SERVICE_UNAVAILABLE => {
+                Err(Error::Unavailable { error, remedy })
+            }
             Ok(reply) => Err(Error::Refused { error: reply.error, remedy: reply.remedy }),
             Err(_) => Err(no_answer()),
         }
--- a/crates/cherrystream/src/commands.rs
+++ b/crates/cherrystream/src/commands.rs
@@ -10,6 +10,12 @@
 use crate::workspace;
 use cherrystream_schema::messages::{ConfigReply, ConfirmReply, Intent, PlanReply, StatusReply};
 use serde::Serialize;
+use std::time::{Duration, Instant};
+
+/// Time for which a confirmation is repeated while its outcome is unknown. Covers an election.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before a confirmation is repeated.
+const RESEND_PAUSE: Duration = Duration::from_millis(250);
 
 /// Runs a command.
 ///
@@ -48,8 +54,7 @@
         }
         Command::Confirm(args) => {
             let target = args.target();
-            let path = format!("/v1/plans/{}/confirm", args.plan);
-            let reply: ConfirmReply = ApiClient::try_new(&target)?.post(&path, &()).await?;
+            let reply = confirm(&ApiClient::try_new(&target)?, &args.plan).await?;
             show(&target, &reply, print::confirmed)
         }
         Command::Config(args) => {
@@ -67,6 +72,20 @@
     }
 }
 
+/// Confirms a plan. Repeats the call while its outcome is unknown: a plan is accepted once.
+async fn confirm(client: &ApiClient, plan: &str) -> Result<ConfirmReply> {
+    let path = format!("/v1/plans/{plan}/confirm");
+    let started = Instant::now();
+    loop {
+        match client.post(&path, &()).await {
+            Err(e) if e.is_unresolved() && started.elapsed() < CONFIRM_TIMEOUT => {
+                tokio::time::sleep(RESEND_PAUSE).await;
+            }
+            reply => return reply,
+        }
+    }
+}
+
 /// Submits an intent and prints the plan that it leads to.
 pub(crate) async fn plan(target: &Target, intent: Intent) -> Result<()> {
     let reply = submit(target, &intent).await?;
--- a/crates/cherrystream/src/errors.rs
+++ b/crates/cherrystream/src/errors.rs
@@ -81,6 +81,14 @@
         /// Address that was called.
         address: String,
     },
+    /// Control has no leader, or does not know the outcome of the call.
+    #[snafu(display("{error}; {remedy}"))]
+    Unavailable {
+        /// Description of the fault.
+        error: String,
+        /// How to correct it.
+        remedy: String,
+    },
     /// The control API refused the call.
     #[snafu(display("{error}; {remedy}"))]
     Refused {
@@ -92,6 +100,11 @@
 }
 
 impl Error {
+    /// Returns whether the outcome of the call is unknown, so that it has to be repeated.
+    pub fn is_unresolved(&self) -> bool {
+        matches!(self, Error::NoAnswer { .. } | Error::Unavailable { .. })
+    }
+
     /// Returns whether the error lies in the settings or the arguments.
     pub fn is_usage(&self) -> bool {
         matches!(
--- a/crates/cherrystream/tests/processes/operators.rs
+++ b/crates/cherrystream/tests/processes/operators.rs
@@ -7,6 +7,7 @@
 use super::support::site::Site;
 use super::support::wait;
 use cherrystream_core::workspaces;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -201,6 +202,30 @@
     assert_eq!(confirmed_again.body, confirmed.body);
 }
 
+/// Time for which control has no quorum.
+const WITHOUT_QUORUM: Duration = Duration::from_secs(3);
+
+/// Guards against an operator who is left without the outcome of a confirmation while control
+/// elects a leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_command_line_repeats_a_confirmation_until_its_outcome_is_known() {
+    let mut site = Site::with_control(3).await;
+    let leader = site.leader().await;
+    let api = site.api(leader);
+    let intent = json!({"intent": "put-workspace", "workspace": "mine"});
+    let plan = planned(&site, &api, &intent).await;
+    let followers: Vec<u64> = (1..=3).filter(|replica| *replica != leader).collect();
+    followers.iter().for_each(|replica| site.control(*replica).try_signal(Signal::SIGSTOP));
+    let confirming = tokio::task::spawn_blocking({
+        let api = api.clone();
+        move || run_cli(&api, &["confirm", &plan])
+    });
+    tokio::time::sleep(WITHOUT_QUORUM).await;
+    followers.iter().for_each(|replica| site.control(*replica).try_signal(Signal::SIGCONT));
+    let printed = confirming.await.unwrap();
+    assert!(printed.contains("exit code 0"), "{printed}");
+}
+
 /// Runs the command line against a site; returns its output and exit code.
 fn run_cli(api: &str, args: &[&str]) -> String {
     let output = std::process::Command::new(env!("CARGO_BIN_EXE_cherrystream"))
--- a/crates/cherrystream/tests/soak/keys.rs
+++ b/crates/cherrystream/tests/soak/keys.rs
@@ -74,11 +74,17 @@
     apis: Vec<String>,
     rng: SmallRng,
     assignments: Vec<Assignment>,
+    /// Plan whose confirmation got no clear answer.
+    unresolved: Option<String>,
+    /// The last intent with control's answer to it or to its plan, for failure messages.
+    last_answer: String,
 }
 
 impl Operator {
     pub fn new(apis: Vec<String>, seed: u64) -> Operator {
-        Operator { apis, rng: SmallRng::seed_from_u64(seed), assignments: Vec::new() }
+        let rng = SmallRng::seed_from_u64(seed);
+        let (unresolved, last_answer) = (None, String::new());
+        Operator { apis, rng, assignments: Vec::new(), unresolved, last_answer }
     }
 
     /// Adds and revokes random keys until `stop` is set.
@@ -127,10 +133,11 @@
         while !stop.load(Ordering::Relaxed) {
             let planned = self.ask(&Ask::post("/v1/intents", intent.to_string())).await;
             let status = planned.as_ref().map_or(0, |answer| answer.status.as_u16());
+            self.note(intent, planned.as_ref());
             if matches!(status, 404 | 409) {
                 return true;
             }
-            if status == 201 && self.confirm(&planned.unwrap()).await {
+            if status == 201 && self.confirm(&planned.unwrap(), stop).await {
                 return true;
             }
             tokio::time::sleep(PAUSE / 4).await;
@@ -138,10 +145,34 @@
         false
     }
 
-    async fn confirm(&mut self, planned: &Answer) -> bool {
+    async fn confirm(&mut self, planned: &Answer, stop: &AtomicBool) -> bool {
         let Ok(plan) = serde_json::from_slice::<PlanReply>(&planned.body) else { return false };
-        let ask = Ask::post(&format!("/v1/plans/{}/confirm", plan.plan), "");
-        self.ask(&ask).await.is_some_and(|answer| answer.status == 200)
+        self.unresolved = Some(plan.plan);
+        self.resolve(stop).await
+    }
+
+    /// Sends the last confirmation again until its outcome is known, as control's answers ask;
+    /// returns whether the plan is accepted.
+    async fn resolve(&mut self, stop: &AtomicBool) -> bool {
+        while let Some(plan) = &self.unresolved {
+            let ask = Ask::post(&format!("/v1/plans/{plan}/confirm"), "");
+            let confirmed = self.ask(&ask).await;
+            self.note(&json!(ask.path), confirmed.as_ref());
+            match confirmed.map(|answer| answer.status.as_u16()) {
+                Some(status @ (200 | 400..500)) => {
+                    self.unresolved = None;
+                    return status == 200;
+                }
+                _ if stop.load(Ordering::Relaxed) => return false,
+                _ => tokio::time::sleep(PAUSE / 4).await,
+            }
+        }
+        false
+    }
+
+    fn note(&mut self, what: &Value, answer: Option<&Answer>) {
+        let body = answer.map(|a| String::from_utf8_lossy(&a.body).into_owned());
+        self.last_answer = format!("{what}: {:?} {body:?}", answer.map(|answer| answer.status));
     }
 
     async fn ask(&mut self, ask: &Ask) -> Option<Answer> {
@@ -154,6 +185,9 @@
     pub async fn settle(&mut self, watched: &[WatchedDaemon]) -> Vec<String> {
         let stop = AtomicBool::new(false);
         let settled_by = Instant::now() + 2 * MAX_DELAY;
+        if tokio::time::timeout_at(settled_by.into(), self.resolve(&stop)).await.is_err() {
+            return vec![format!("a confirmation has no outcome: {}", self.last_answer)];
+        }
         for key in 0..KEYS.len() {
             let is_held = |assignments: &[Assignment]| {
                 assignments
@@ -172,8 +206,10 @@
                 let toggle = tokio::time::timeout_at(settled_by.into(), self.toggle(key, &stop));
                 if toggle.await.is_err() {
                     return vec![format!(
-                        "key {key}: control confirmed no intent within {:?}",
-                        2 * MAX_DELAY
+                        "key {key}: control confirmed no intent within {:?}; {}, assignments {:?}",
+                        2 * MAX_DELAY,
+                        self.last_answer,
+                        self.assignments.iter().filter(|a| a.key == key).collect::<Vec<_>>()
                     )];
                 }
             }
@@ -183,11 +219,21 @@
         for watched in watched {
             for (key, text) in KEYS.iter().enumerate() {
                 let holds = key == 0;
-                while status(&watched.address, text).await != Some(if holds { 200 } else { 401 }) {
+                loop {
+                    let answer = settled_answer(&watched.address, text).await;
+                    let status = answer.as_ref().map(|answer| answer.status.as_u16());
+                    if status == Some(if holds { 200 } else { 401 }) {
+                        break;
+                    }
                     if Instant::now() > until {
+                        let reason = answer.as_ref().map(Answer::reason);
+                        let held = self.digests_held().await;
                         late_daemons.push(format!(
-                            "daemon {}: key {key}: accepted is not {holds} after {MAX_DELAY:?}",
-                            watched.daemon
+                            "daemon {}: key {key} ({}): accepted is not {holds} after \
+                             {MAX_DELAY:?}: answered {status:?} {reason:?}; control: {held}; {}",
+                            watched.daemon,
+                            workspaces::digest(text),
+                            self.last_answer
                         ));
                         break;
                     }
@@ -197,13 +243,23 @@
         }
         late_daemons
     }
+
+    /// Returns the revision and the workspaces of control's configuration, for failure messages.
+    async fn digests_held(&mut self) -> String {
+        match self.ask(&Ask::get("/v1/config")).await {
+            Some(answer) if answer.status == 200 => {
+                let reply = answer.json();
+                format!("{} {}", reply["revision"], reply["config"]["workspaces"])
+            }
+            answer => format!("{:?}", answer.map(|answer| answer.status)),
+        }
+    }
 }
 
-async fn status(address: &str, key: &str) -> Option<u16> {
+async fn settled_answer(address: &str, key: &str) -> Option<Answer> {
     let ask = ask("/k/settled", Some(key));
     let sending = client::send(address, &ask);
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, sending).await.ok()??;
-    Some(answer.status.as_u16())
+    tokio::time::timeout(ANSWER_TIMEOUT, sending).await.ok()?
 }
 
 fn ask(path: &str, key: Option<&str>) -> Ask {
