Roll-outs reserve in advance what a move sends, and move as late as the drain allows

What callers saw: a version that fails one in ten of 40 requests a second got 129 of 469 requests where 97 are stated, and one that turns bad after the move got all requests until it was rolled back.

Cause: the move began at a fixed share of the time and drained for 1.5 s whatever the service needs, so with 12 s the canary got a quarter of the traffic; the trial used 0.7 of a limit that the move needed; and no evidence counted as good.

Change: the controller forecasts the limit at the deadline, reserves what the move sends and gives the rest to the trial; it moves once everything until the deadline fits, at the latest when the drain has to begin, and rolls back what is suspected then. The drain is counted back from the deadline by the delivery of a step and the longest requests of the old versions. Sequential tests for three degrees of failures run side by side; the prior of the short baseline is smaller, since it hid a disturbance that has just begun.

--- a/crates/cherrystream-core/src/rollout/controller.rs
+++ b/crates/cherrystream-core/src/rollout/controller.rs
@@ -15,22 +15,37 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Share of the allowed time after which a canary without regression gets all requests. The rest of
-/// the time serves to drain the old backend servers.
+/// Share of the allowed time after which a canary without regression may get all requests.
 const MOVE_AT_SHARE: f64 = 0.75;
-/// Share of the allowed time by which the roll-out is completed, in time for its acknowledgement.
-const COMPLETE_BY_SHARE: f64 = 0.92;
-/// Shortest time between the move and the completion. The old backend servers stop at completion,
-/// after the requests sent before the last daemon received the step have finished.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(1_500);
+/// Time in which a committed step is received by the daemons: a heartbeat interval, in case that a
+/// subscription is interrupted, and the way.
+const DELIVERY_TIME: Duration = Duration::from_millis(500);
+/// Time assumed for the longest requests in flight while no response has been reported.
+const DEFAULT_LONGEST_TIME: Duration = Duration::from_millis(800);
+/// Longest time for which the completion waits for requests at the old backend servers.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(3);
+/// Time for a step to be committed.
+const COMMIT_TIME: Duration = Duration::from_millis(200);
+/// Time for the completion to be read before the deadline.
+const ACK_TIME: Duration = Duration::from_millis(100);
+/// Interval of the decisions.
+const DECISION_TIME: Duration = Duration::from_millis(100);
+/// Time from the first bad responses to the last request: service time, report, decision and step.
+const REACTION_TIME: Duration = Duration::from_millis(800);
+/// Interval at which daemons report their counts.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Slots of the canary, as a share of those of the old versions, that suffice for all requests.
 const MIN_SLOT_SHARE: f64 = 0.5;
-/// Responses of the canary required before it gets all requests.
+/// Responses of the canary that are obtained by a higher exposure, if the limit allows it.
 const MIN_CANARY_ANSWERS: f64 = 30.0;
+/// Responses of the canary required before a move that may exceed the limit.
+const MIN_MOVE_ANSWERS: f64 = 10.0;
 /// Largest exposure used to obtain these responses.
 const MAX_EVIDENCE_EXPOSURE: f64 = 0.5;
-/// Share of the allowed requests that is used. The rest is for requests not yet reported.
-const USED_LIMIT_SHARE: f64 = 0.7;
+/// Share of the limit that is used. The rest is for variations of the traffic.
+const USED_LIMIT_SHARE: f64 = 0.9;
+/// Variation of the traffic that an early move allows for, in standard deviations.
+const VARIATION: f64 = 2.0;
 /// Smallest relative change of the exposure that is committed as a step.
 const MIN_RELATIVE_STEP: f64 = 0.2;
 
@@ -75,7 +90,10 @@
     /// Time that had elapsed at `seen_at`.
     elapsed_before: Duration,
     seen_at: Timestamp,
-    moved_at: Option<Timestamp>,
+    /// Drain time at the decision to move. Later responses must not delay the completion beyond the
+    /// deadline.
+    planned_drain_time: Option<Duration>,
+    moved: Option<Move>,
     evaluator: Evaluator,
     hosts: BTreeMap<String, HostReport>,
     /// Responses of the canary since the start.
@@ -84,6 +102,26 @@
     old: u64,
 }
 
+/// The move of all requests to the canary.
+#[derive(Clone, Copy, Debug)]
+struct Move {
+    at: Timestamp,
+    drain_time: Duration,
+}
+
+/// Traffic expected until the deadline.
+#[derive(Clone, Copy, Debug)]
+struct Forecast {
+    /// Time until the deadline.
+    left: Duration,
+    /// Requests to all versions.
+    per_second: f64,
+    /// Requests sent to the canary, including those not reported yet.
+    sent: f64,
+    /// Requests that the canary may get until the deadline.
+    allowed: f64,
+}
+
 /// The last report of a daemon.
 #[derive(Debug)]
 struct HostReport {
@@ -183,7 +221,8 @@
             started_at_ms: rollout.started_at_ms,
             elapsed_before: Duration::from_millis(elapsed_ms),
             seen_at: at.now,
-            moved_at: None,
+            planned_drain_time: None,
+            moved: None,
             evaluator: Evaluator::default(),
             hosts: BTreeMap::new(),
             canary: 0,
@@ -250,72 +289,161 @@
         slots: Slots,
         limits: Limits,
     ) -> Option<Step> {
-        let elapsed = self.elapsed(now, rollout);
-        if elapsed >= MOVE_AT_SHARE && slots.are_sufficient() {
-            let reason =
-                format!("no regression in {} of {} responses", self.canary, self.canary + self.old);
-            return Some(Step { stage: RolloutStage::Moving, exposure_milli: 1_000, reason });
+        let forecast = self.forecast(now, rollout, limits);
+        let reason = format!("no regression in {} of {} responses", self.canary, self.total());
+        let is_late = forecast.left < self.time_to_complete();
+        match self.evaluator.suspicion() {
+            Some(finding) if is_late && slots.are_sufficient() => {
+                let what =
+                    format!("{finding}: possibly by chance, but it had no time to show that");
+                return Step::roll_back(what);
+            }
+            None if slots.are_sufficient() && self.may_move(now, rollout, &forecast) => {
+                self.planned_drain_time = Some(self.drain_time_within(forecast.left));
+                return Some(Step { stage: RolloutStage::Moving, exposure_milli: 1_000, reason });
+            }
+            _ => {}
         }
-        if elapsed >= 1.0 {
-            let (canary, old) = (slots.canary, slots.old);
-            let what = format!(
-                "its backend servers had {canary} slots at the deadline, the old ones {old}"
-            );
-            return Step::roll_back(what);
+        if forecast.left.is_zero() {
+            return Step::roll_back(self.why_not_moved(slots));
         }
         let target = match slots.canary {
             0 => 0.0,
-            _ => self.exposure(now, rollout, limits),
+            _ => self.exposure(now, rollout, &forecast),
         };
-        let current = f64::from(rollout.exposure_milli) / 1_000.0;
+        let current = exposure_of(rollout);
         let is_toggled = (target == 0.0) != (current == 0.0);
         let is_step =
             is_toggled || (target - current).abs() > MIN_RELATIVE_STEP * current.max(target);
-        let reason = format!("{} of {} responses", self.canary, self.canary + self.old);
+        let reason = format!("{} of {} responses", self.canary, self.total());
         let exposure_milli = (target * 1_000.0).ceil() as u32;
         is_step.then_some(Step { stage: RolloutStage::Trying, exposure_milli, reason })
     }
 
+    fn why_not_moved(&self, slots: Slots) -> String {
+        let Slots { canary, old } = slots;
+        if slots.are_sufficient() {
+            return format!("only {} of {} responses by the deadline", self.canary, self.total());
+        }
+        format!("its backend servers had {canary} slots at the deadline, the old ones {old}")
+    }
+
+    /// Returns whether the canary may get all requests. That is as soon as the requests until the
+    /// deadline stay within the limit, so that even an undetected regression does; at the latest
+    /// when the drain of the old backend servers has to begin.
+    fn may_move(&self, now: Timestamp, rollout: &Rollout, forecast: &Forecast) -> bool {
+        let moved = forecast.moved_within(forecast.left);
+        let variation = VARIATION * moved.sqrt();
+        let is_affordable = forecast.sent + moved + variation <= forecast.allowed;
+        let is_last_moment = forecast.left < self.time_to_complete() + DECISION_TIME;
+        let is_tried = is_affordable || self.canary as f64 >= MIN_MOVE_ANSWERS;
+        let is_tried_long = self.elapsed(now, rollout) >= MOVE_AT_SHARE;
+        is_tried_long && is_tried && (is_affordable || is_last_moment)
+    }
+
+    /// Returns the time from the move to the acknowledgement of the completion.
+    fn time_to_complete(&self) -> Duration {
+        COMMIT_TIME + self.drain_time() + COMMIT_TIME + ACK_TIME
+    }
+
+    /// Returns the time from the move until the requests at the old backend servers have finished.
+    fn drain_time(&self) -> Duration {
+        let longest = self.evaluator.longest_baseline_time().unwrap_or(DEFAULT_LONGEST_TIME);
+        (DELIVERY_TIME + longest).min(MAX_DRAIN_TIME)
+    }
+
+    /// Returns the drain time, shortened for a completion by the deadline if the move is late.
+    fn drain_time_within(&self, left: Duration) -> Duration {
+        let rest = left.saturating_sub(self.time_to_complete() - self.drain_time());
+        self.drain_time().min(rest.max(DELIVERY_TIME))
+    }
+
+    fn forecast(&self, now: Timestamp, rollout: &Rollout, limits: Limits) -> Forecast {
+        let elapsed = self.elapsed_time(now);
+        let left = Duration::from_millis(rollout.within_ms).saturating_sub(elapsed);
+        let per_second = self.total() as f64 / elapsed.max(REPORT_INTERVAL).as_secs_f64();
+        let canaries = self.hosts.values().filter(|host| host.is_canary);
+        let in_flight: u32 = canaries.map(|host| host.in_flight).sum();
+        let unreported = per_second * exposure_of(rollout) * REPORT_INTERVAL.as_secs_f64();
+        let expected = self.total() as f64 + per_second * left.as_secs_f64();
+        Forecast {
+            left,
+            per_second,
+            sent: self.canary as f64 + f64::from(in_flight) + unreported,
+            allowed: USED_LIMIT_SHARE * (limits.share * expected + limits.slack),
+        }
+    }
+
     /// Returns the share of requests sent to the canary while it is evaluated.
-    fn exposure(&self, now: Timestamp, rollout: &Rollout, limits: Limits) -> f64 {
-        let elapsed = self.elapsed(now, rollout);
-        let all = (self.canary + self.old) as f64;
-        let allowed = limits.share * all + limits.slack;
-        if self.canary as f64 >= USED_LIMIT_SHARE * allowed {
+    fn exposure(&self, now: Timestamp, rollout: &Rollout, forecast: &Forecast) -> f64 {
+        // Reserves what a move needs, until the deadline where that leaves enough for evidence.
+        let reserved = forecast.moved_within(self.time_to_complete() + DECISION_TIME);
+        let for_trial = match forecast.allowed - reserved {
+            rest if rest >= MIN_MOVE_ANSWERS => rest,
+            _ => forecast.allowed - forecast.within(REACTION_TIME),
+        };
+        if forecast.sent >= for_trial {
             return 0.0;
         }
+        let elapsed = self.elapsed(now, rollout);
         let due = SCHEDULE.iter().rev().find(|(from, _)| elapsed >= *from);
         let due = due.map_or(0.0, |(_, exposure)| *exposure);
-        let remaining = (MOVE_AT_SHARE - elapsed).max(0.0) / elapsed.max(0.01);
-        let expected = all * remaining;
+        let remaining = forecast.left.saturating_sub(self.time_to_complete());
         let missing = (MIN_CANARY_ANSWERS - self.canary as f64).max(0.0);
-        let for_evidence = (missing / expected.max(1.0)).min(MAX_EVIDENCE_EXPOSURE);
+        let expected = forecast.within(remaining).max(1.0);
+        let for_evidence = (missing / expected).min(MAX_EVIDENCE_EXPOSURE);
         // The first exposure stays small even if responses are lacking.
         let is_past_first = elapsed >= SCHEDULE[1].0;
         if is_past_first { due.max(for_evidence) } else { due }
     }
 
     fn complete(&mut self, now: Timestamp, rollout: &Rollout, slots: Slots) -> Option<Step> {
-        let moved_at = *self.moved_at.get_or_insert(now);
+        let drain_time = self.planned_drain_time.unwrap_or_else(|| self.drain_time());
+        let moved = *self.moved.get_or_insert(Move { at: now, drain_time });
         if slots.canary == 0 {
             return Step::roll_back("none of its backend servers is live".into());
         }
-        let moved_for = now.since(moved_at);
-        let old = self.hosts.values().filter(|host| !host.is_canary);
-        let is_idle = |host: &HostReport| host.in_flight == 0 && host.received_at > moved_at;
-        let is_drained = moved_for >= MIN_DRAIN_TIME && old.clone().all(is_idle);
-        let is_due = self.elapsed(now, rollout) >= COMPLETE_BY_SHARE && moved_for >= MIN_DRAIN_TIME;
-        let reason =
-            format!("no regression in {} of {} responses", self.canary, self.canary + self.old);
+        let moved_for = now.since(moved.at);
+        let mut old = self.hosts.values().filter(|host| !host.is_canary);
+        let is_drained = old.all(|host| host.in_flight == 0 && host.received_at > moved.at);
+        let within = Duration::from_millis(rollout.within_ms);
+        let is_due = self.elapsed_time(now) + COMMIT_TIME + ACK_TIME >= within;
+        let reason = format!("no regression in {} of {} responses", self.canary, self.total());
         let step = Step { stage: RolloutStage::Completed, exposure_milli: 1_000, reason };
-        (is_drained || is_due).then_some(step)
+        (moved_for >= moved.drain_time && (is_drained || is_due)).then_some(step)
+    }
+
+    /// Returns the responses of all versions since the start.
+    fn total(&self) -> u64 {
+        self.canary + self.old
+    }
+
+    fn elapsed_time(&self, now: Timestamp) -> Duration {
+        self.elapsed_before + now.since(self.seen_at)
     }
 
     /// Returns the elapsed share of the allowed time.
     fn elapsed(&self, now: Timestamp, rollout: &Rollout) -> f64 {
-        let elapsed = self.elapsed_before + now.since(self.seen_at);
-        elapsed.as_secs_f64() / Duration::from_millis(rollout.within_ms.max(1)).as_secs_f64()
+        let within = Duration::from_millis(rollout.within_ms.max(1));
+        self.elapsed_time(now).as_secs_f64() / within.as_secs_f64()
+    }
+}
+
+impl Forecast {
+    /// Returns the requests to the canary within a time that begins with the decision to move.
+    fn moved_within(&self, time: Duration) -> f64 {
+        self.within(time.saturating_sub(COMMIT_TIME))
     }
+
+    /// Returns the requests to all versions within a time.
+    fn within(&self, time: Duration) -> f64 {
+        self.per_second * time.as_secs_f64()
+    }
+}
+
+/// Returns the share of requests that the last step sends to the canary.
+fn exposure_of(rollout: &Rollout) -> f64 {
+    f64::from(rollout.exposure_milli) / 1_000.0
 }
 
 impl HostReport {
--- a/crates/cherrystream-core/src/rollout/counts.rs
+++ b/crates/cherrystream-core/src/rollout/counts.rs
@@ -18,6 +18,11 @@
     bucket.min(BUCKETS - 1)
 }
 
+/// Returns the end of a bucket.
+pub fn upper_bound(bucket: usize) -> Duration {
+    Duration::from_secs_f64(2_f64.powf((bucket + 1) as f64 / 2.0) / 1_000.0)
+}
+
 /// Responses of one backend server since its roll-out was first seen.
 #[derive(Debug, Default)]
 pub struct Counts {
--- a/crates/cherrystream-core/src/rollout/evaluation.rs
+++ b/crates/cherrystream-core/src/rollout/evaluation.rs
@@ -1,27 +1,32 @@
 //! Evaluation of a canary: compares its responses with those of the old versions at the same time,
 //! by kind of request.
 //!
-//! A sequential test decides when there is enough evidence: Wald's likelihood ratio (Sequential
-//! Tests of Statistical Hypotheses, 1945) with a lower bound of zero, so that a version that
-//! degrades later is detected as fast as one that is bad from the start (Page, Continuous
-//! Inspection Schemes, 1954).
+//! Sequential tests decide when there is enough evidence: Wald's likelihood ratio (Sequential Tests
+//! of Statistical Hypotheses, 1945) with a lower bound of zero, so that a version that degrades
+//! later is detected as fast as one that is bad from the start (Page, Continuous Inspection
+//! Schemes, 1954). Several tests run side by side, because each is fastest for one degree of
+//! regression.
 
-use super::counts::{BUCKETS, CountsDelta};
+use super::counts::{self, BUCKETS, CountsDelta};
 use crate::units::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Log-likelihood ratio from which the canary is considered worse. A test of a good version reaches
-/// it by chance in about 1 of 10,000 cases.
-const REGRESSION_SCORE: f64 = 9.2;
-/// Increase of the share of failures that the test detects.
-const FAILURE_INCREASE: f64 = 0.03;
+/// it by chance in about 1 of 10,000 cases, and there are up to three at a time.
+const REGRESSION_SCORE: f64 = 10.3;
+/// Share of `REGRESSION_SCORE` from which a regression is suspected.
+const SUSPICION_SHARE: f64 = 0.5;
+/// Increases of the share of failures that the tests detect. Each finds a version near its own
+/// increase soonest: the smallest needs twice as many responses of one that fails every time.
+const FAILURE_INCREASES: [f64; 3] = [0.03, 0.12, 0.5];
 /// Smallest baseline share of failures.
 const MIN_FAILURE_SHARE: f64 = 0.005;
-/// Weight of the smallest share of failures, in responses.
-const PRIOR_ANSWERS: f64 = 200.0;
-/// Increase of the share of slow responses that the test detects.
-const SLOW_INCREASE: f64 = 0.4;
+/// Weight of the smallest share of failures, in responses, for each half-life. A large weight would
+/// hide a disturbance of all versions that has just begun.
+const PRIOR_ANSWERS: [f64; 2] = [20.0, 200.0];
+/// Increases of the share of slow responses that the tests detect.
+const SLOW_INCREASES: [f64; 1] = [0.4];
 /// Smallest baseline share of slow responses.
 const MIN_SLOW_SHARE: f64 = 0.03;
 /// Weight of the smallest share of slow responses, in responses.
@@ -34,6 +39,8 @@
 /// Half-lives of the baseline counts. The larger share of the two is used, so that neither a
 /// disturbance of all versions nor a single good second makes the canary look worse.
 const HALF_LIVES: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(10)];
+/// Share of the service times of the old versions that are no longer than the longest time.
+const LONGEST_TIME_SHARE: f64 = 0.999;
 /// Responses of an instance required to compare it with others.
 const MIN_INSTANCE_ANSWERS: u64 = 5;
 /// Share of all bad responses from which a single instance, not the version, is the cause.
@@ -100,14 +107,16 @@
 struct KindEvaluator {
     /// Recent counts of the old versions, one for each half-life.
     baseline: [BaselineCounts; 2],
-    tests: BTreeMap<Fault, SequentialTest>,
+    tests: BTreeMap<Fault, FaultTest>,
 }
 
+/// Tests for one kind of regression.
 #[derive(Clone, Copy, Debug, Default)]
-struct SequentialTest {
+struct FaultTest {
     answered: u64,
     bad: u64,
-    score: f64,
+    /// Score for each increase of the share of bad responses that is tested.
+    scores: [f64; 3],
 }
 
 /// Exponentially decayed counts of the old versions.
@@ -131,6 +140,12 @@
         }
     }
 
+    /// Returns the time that nearly all requests to the old versions take at most; `None` without
+    /// enough responses.
+    pub fn longest_baseline_time(&self) -> Option<Duration> {
+        self.kinds.values().filter_map(KindEvaluator::longest_time).max()
+    }
+
     /// Records responses of an old version.
     pub fn on_baseline(&mut self, kind: &str, counts: &CountsDelta) {
         let kind_state = self.kinds.entry(kind.into()).or_default();
@@ -145,7 +160,7 @@
         for (fault, sample) in samples {
             let Some(sample) = sample else { continue };
             let baseline = kind_state.baseline_share(fault);
-            kind_state.tests.entry(fault).or_default().update(sample, baseline, fault.increase());
+            kind_state.tests.entry(fault).or_default().update(sample, baseline, fault.increases());
             let totals = self.instances.entry((instance.into(), fault)).or_default();
             totals.0 += sample.answered;
             totals.1 += sample.bad;
@@ -154,9 +169,17 @@
 
     /// Returns a regression of the canary, if one is detected.
     pub fn finding(&self) -> Option<Finding> {
+        self.worse_by(REGRESSION_SCORE)
+    }
+
+    /// Returns a regression of the canary that is likely, if there is one, though not yet detected.
+    pub fn suspicion(&self) -> Option<Finding> {
+        self.worse_by(SUSPICION_SHARE * REGRESSION_SCORE)
+    }
+
+    fn worse_by(&self, score: f64) -> Option<Finding> {
         let found = |(kind, kind_state): (&String, &KindEvaluator)| {
-            let (fault, test) =
-                kind_state.tests.iter().find(|(_, test)| test.score >= REGRESSION_SCORE)?;
+            let (fault, test) = kind_state.tests.iter().find(|(_, test)| test.max() >= score)?;
             Some(Finding {
                 kind: kind.clone(),
                 fault: *fault,
@@ -187,6 +210,11 @@
         longer.median_bucket().map(|bucket| (bucket + SLOW_BUCKETS).min(BUCKETS))
     }
 
+    fn longest_time(&self) -> Option<Duration> {
+        let [_, longer] = &self.baseline;
+        longer.bucket_at(LONGEST_TIME_SHARE).map(counts::upper_bound)
+    }
+
     fn slow(&self, counts: &CountsDelta) -> Option<Sample> {
         let from = self.slow_from_bucket()?;
         let answered = counts.times.iter().sum();
@@ -196,16 +224,17 @@
     /// Returns the baseline share of bad responses.
     fn baseline_share(&self, fault: Fault) -> f64 {
         let from = self.slow_from_bucket().unwrap_or(BUCKETS);
-        let shares = self.baseline.iter().map(|counts| counts.share_of(fault, from));
+        let baselines = self.baseline.iter().zip(PRIOR_ANSWERS);
+        let shares = baselines.map(|(counts, prior)| counts.share_of(fault, from, prior));
         shares.fold(0.0, f64::max)
     }
 }
 
 impl Fault {
-    const fn increase(self) -> f64 {
+    const fn increases(self) -> &'static [f64] {
         match self {
-            Fault::Fails => FAILURE_INCREASE,
-            Fault::Slow => SLOW_INCREASE,
+            Fault::Fails => &FAILURE_INCREASES,
+            Fault::Slow => &SLOW_INCREASES,
         }
     }
 }
@@ -217,17 +246,30 @@
     bad: u64,
 }
 
-impl SequentialTest {
-    /// Adds the log-likelihood ratio of the sample: worse by `more`, against the baseline share.
-    fn update(&mut self, sample: Sample, baseline: f64, more: f64) {
-        let worse = baseline + more * (1.0 - baseline);
-        let good = sample.answered.saturating_sub(sample.bad);
-        let ratio = sample.bad as f64 * (worse / baseline).ln()
-            + good as f64 * ((1.0 - worse) / (1.0 - baseline)).ln();
-        self.score = (self.score + ratio).max(0.0);
+impl FaultTest {
+    /// Adds the log-likelihood ratios of the sample: worse by each of `increases`, against the
+    /// baseline share.
+    fn update(&mut self, sample: Sample, baseline: f64, increases: &[f64]) {
+        for (score, more) in self.scores.iter_mut().zip(increases) {
+            *score = (*score + sample.ratio(baseline, *more)).max(0.0);
+        }
         self.answered += sample.answered;
         self.bad += sample.bad;
     }
+
+    fn max(&self) -> f64 {
+        self.scores.into_iter().fold(0.0, f64::max)
+    }
+}
+
+impl Sample {
+    /// Returns the log-likelihood ratio of the sample.
+    fn ratio(self, baseline: f64, more: f64) -> f64 {
+        let worse = baseline + more * (1.0 - baseline);
+        let good = self.answered.saturating_sub(self.bad);
+        self.bad as f64 * (worse / baseline).ln()
+            + good as f64 * ((1.0 - worse) / (1.0 - baseline)).ln()
+    }
 }
 
 impl BaselineCounts {
@@ -247,6 +289,11 @@
 
     /// Returns the bucket of the median; `None` without enough times.
     fn median_bucket(&self) -> Option<usize> {
+        self.bucket_at(0.5)
+    }
+
+    /// Returns the bucket below whose end a share of the times lies; `None` without enough times.
+    fn bucket_at(&self, share: f64) -> Option<usize> {
         let known: f64 = self.times.iter().sum();
         if known < MIN_TIMINGS {
             return None;
@@ -254,17 +301,17 @@
         let mut below = 0.0;
         self.times.iter().position(|count| {
             below += count;
-            below * 2.0 >= known
+            below >= share * known
         })
     }
 
     /// Returns the share of bad responses, smoothed with the smallest share as a prior.
-    fn share_of(&self, fault: Fault, slow_from_bucket: usize) -> f64 {
+    fn share_of(&self, fault: Fault, slow_from_bucket: usize, prior_answers: f64) -> f64 {
         let share = |bad: f64, of: f64, least: f64, prior: f64| {
             ((bad + least * prior) / (of + prior)).clamp(least, 0.9)
         };
         match fault {
-            Fault::Fails => share(self.failed, self.answered, MIN_FAILURE_SHARE, PRIOR_ANSWERS),
+            Fault::Fails => share(self.failed, self.answered, MIN_FAILURE_SHARE, prior_answers),
             Fault::Slow => {
                 let slow = self.times[slow_from_bucket..].iter().sum();
                 share(slow, self.times.iter().sum(), MIN_SLOW_SHARE, PRIOR_TIMINGS)
--- a/crates/cherrystream-core/tests/rollouts/plays.rs
+++ b/crates/cherrystream-core/tests/rollouts/plays.rs
@@ -4,6 +4,8 @@
 use crate::world::{self, Outcome, Simulation, Version};
 use cherrystream_core::rollout::controller::Limits;
 use cherrystream_schema::messages::RolloutStage;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
 const GOOD: Version = Version { fails: 0.002, slower: 1.0, from_s: 0.0, from_load: 0 };
@@ -147,3 +149,71 @@
         assert_bounds(&simulate_seeds(|seed| simulation(last, 300.0, seed)));
     }
 }
+
+/// Number of drawn roll-outs of each class; `ROLLOUT_SEEDS` sets another one.
+const DRAWN_SEEDS: u64 = 150;
+/// Share of the good versions that must be completed.
+const MIN_COMPLETED_SHARE: f64 = 0.99;
+/// Share of the bad versions that must stay within the limit.
+const MIN_BOUNDED_SHARE: f64 = 0.99;
+
+/// Class of a drawn version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Good,
+    Fails,
+    Slow,
+    FailsLater,
+}
+
+fn draw(class: Class, seed: u64) -> Simulation {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let per_second = 2.0 * 300_f64.powf(rng.random());
+    let fails = 0.1 * 10_f64.powf(rng.random());
+    let version = match class {
+        Class::Good => GOOD,
+        Class::Fails => Version { fails, ..GOOD },
+        Class::Slow => Version { slower: rng.random_range(3.0..8.0), ..GOOD },
+        Class::FailsLater => Version { fails, from_s: rng.random_range(0.0..10.0), ..GOOD },
+    };
+    simulation(version, per_second, seed)
+}
+
+/// Guards against good versions that are rolled back and bad ones that exceed the limit, at rates
+/// of traffic and degrees of regression other than those of the tests above.
+#[test]
+fn drawn_versions_are_rarely_misjudged() {
+    let seeds = std::env::var("ROLLOUT_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    for class in [Class::Good, Class::Fails, Class::Slow, Class::FailsLater] {
+        let all = seeds.unwrap_or(DRAWN_SEEDS);
+        let outcomes: Vec<(f64, Outcome)> = (0..all)
+            .map(|seed| draw(class, seed))
+            .map(|simulation| (simulation.per_second, world::simulate(simulation)))
+            .collect();
+        let share = |is: &dyn Fn(&Outcome) -> bool| {
+            outcomes.iter().filter(|(_, outcome)| is(outcome)).count() as f64 / all as f64
+        };
+        let completed = share(&|outcome| outcome.stage == RolloutStage::Completed);
+        let rolled_back = share(&|outcome| outcome.stage == RolloutStage::RolledBack);
+        let bounded = share(&|outcome| outcome.is_within(Limits::default()));
+        let cut_off = share(&|outcome| outcome.cut_off > 0);
+        println!(
+            "{class:?}: {completed:.4} completed, {rolled_back:.4} rolled back, {bounded:.4} within the limit, \
+             {cut_off:.4} completed with requests at old backend servers"
+        );
+        for (least, most) in [(2.0, 20.0), (20.0, 60.0), (60.0, 200.0), (200.0, 600.0)] {
+            let at_rate = outcomes.iter().filter(|(rate, _)| (least..most).contains(rate));
+            let exceeding = at_rate.clone().filter(|(_, o)| !o.is_within(Limits::default()));
+            println!(
+                "  {least} to {most} a second: {} of {} exceed it",
+                exceeding.count(),
+                at_rate.count()
+            );
+        }
+        assert_eq!(cut_off, 0.0);
+        match class {
+            Class::Good => assert!(completed >= MIN_COMPLETED_SHARE, "{completed}"),
+            _ => assert!(bounded >= MIN_BOUNDED_SHARE, "{class:?}: {bounded}"),
+        }
+    }
+}
