One window after a start, an allocator has the burst of a workspace again

What callers saw: after daemons start, a workspace below its quota is refused until the burst has built up at its rate, five minutes with a burst of 300 at 1 a second.

Cause: an allocator cannot know what was granted before it started and begins nearly empty. Forgotten grants count for one window (5 s) only; the limit lasted for burst / rate.

Change: while forgotten grants may count, the level is limited as before; a second level is kept as if the bucket had started full, with the same charges, and then takes its place. No message, no sync, no byte more.

--- a/crates/cherrystream-core/src/quota/allocators.rs
+++ b/crates/cherrystream-core/src/quota/allocators.rs
@@ -13,7 +13,7 @@
 /// other daemons then don't cause refusals below the quota.
 const EXTRA_DEPTH_SHARE: f64 = 0.5;
 /// Share of the tolerance in the initial level of a bucket: a previous allocator may have granted
-/// the rest.
+/// the rest within the last window.
 const INITIAL_LEVEL_SHARE: f64 = 0.15;
 /// Share of the depth beyond the burst that may be lost by asking the nearest allocator first.
 const MAX_LOSS_SHARE: f64 = 0.4;
@@ -28,6 +28,8 @@
 /// Time beyond the validity of a lease after which its allocator considers it used: clocks run at
 /// different rates.
 const CLOCK_MARGIN: Duration = Duration::from_millis(100);
+/// Time after which no credit of a previous allocator is used any more.
+const MAX_LATE_USE: Duration = LEASE_VALIDITY.saturating_add(CLOCK_MARGIN);
 /// Time after which an unused bucket is dropped if it is full by then.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -126,7 +128,7 @@
         if credits > 0 || line.requests == 0 {
             return LeaseAnswer::Granted { credits, deficit: bucket.deficit(size) };
         }
-        let retry_after = bucket.time_until(1.0, size).max(MIN_RETRY_AFTER);
+        let retry_after = bucket.time_until(now, 1.0, size).max(MIN_RETRY_AFTER);
         LeaseAnswer::RetryAfterMs(u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX))
     }
 
@@ -137,12 +139,19 @@
         workspace: &Arc<str>,
         quota: Quota,
     ) -> &mut Bucket {
-        // Previous allocators may have granted all credits by the time this one started.
         let allocators = quota.per_second / size.per_second;
         let initial = INITIAL_LEVEL_SHARE * self.tolerance.max_excess(quota) / allocators;
         let level = initial + size.per_second * now.since(self.members_since).as_secs_f64();
+        let until = self.members_since + self.tolerance.window + MAX_LATE_USE;
         let entry = self.buckets.entry(workspace.clone());
-        let used = entry.or_insert_with(|| (Bucket::new(now, level, size), now));
+        let used = entry.or_insert_with(|| {
+            let bucket = match now < until {
+                // A previous allocator may have granted all credits just before.
+                true => Bucket::limited(now, level, until, size),
+                false => Bucket::new(now, size),
+            };
+            (bucket, now)
+        });
         used.1 = now;
         &mut used.0
     }
--- a/crates/cherrystream-core/tests/quotas/main.rs
+++ b/crates/cherrystream-core/tests/quotas/main.rs
@@ -224,6 +224,58 @@
     assert_eq!(world.refused.len(), 0, "of 60 requests");
 }
 
+/// Guards against refusing a burst although everything that ran before a restart lies more than a
+/// window back.
+#[test]
+fn a_burst_one_window_after_a_restart_is_not_refused() {
+    let quota = Quota { per_second: 1.0, burst: 300.0 };
+    let mut world = World::new(6, quota, leases);
+    overload(&mut world, 10);
+    (0..6).for_each(|n| world.restart(n));
+    run_idle(&mut world, 1);
+    world.refused.clear();
+    world.request(0);
+    run_idle(&mut world, 5);
+    (0..300).for_each(|_| world.request(0));
+    run_idle(&mut world, 2);
+    assert_eq!(world.refused.len(), 0, "of 300 requests");
+    assert!(world.most_in_a_window() as f64 <= world.allowed());
+}
+
+/// Guards against exceeding the quota when bursts follow restarts, pauses and partitions at any
+/// distance: a burst may fall just before or after the level of a restarted allocator rises.
+#[test]
+fn bursts_around_restarts_stay_within_quota_and_tolerance() {
+    arbtest(|u| {
+        let mut rng = SmallRng::seed_from_u64(u.arbitrary()?);
+        let quota = Quota { burst: f64::from(rng.random_range(20..=120)), ..any_quota(&mut rng) };
+        let mut world = World::new(rng.random_range(1..=12), quota, leases);
+        world.delay_us = rng.random_range(1..=60) * 1_000;
+        while world.now < 40 * SECOND_US {
+            match rng.random_range(0..4) {
+                0 => (0..world.count()).for_each(|n| world.restart(n)),
+                1 => inject_fault(&mut rng, &mut world),
+                2 => overload(&mut world, 1),
+                _ => {
+                    let n = rng.random_range(0..world.count());
+                    (0..2 * quota.burst as usize).for_each(|_| world.request(n));
+                }
+            }
+            for _ in 0..rng.random_range(0..=6 * SECOND_US / STEP_US) {
+                world.step();
+            }
+        }
+        let (most, allowed) = (world.most_in_a_window(), world.allowed());
+        assert!(
+            most as f64 <= allowed,
+            "{most} requests ran within a window, {allowed} are allowed, {quota:?}, {} daemons",
+            world.count()
+        );
+        Ok(())
+    })
+    .budget_ms(BUDGET_MS);
+}
+
 /// Guards against batches that are sent for a workspace without requests.
 #[test]
 fn an_idle_workspace_causes_no_batches() {
