--- a/crates/cherrystream-core/src/rollout/controller.rs
+++ b/crates/cherrystream-core/src/rollout/controller.rs
@@ -7,6 +7,7 @@
 
 use super::counts::CountsDelta;
 use super::evaluation::Evaluator;
+use super::forecast::{COMMIT_TIME, DECISION_INTERVAL, Forecast};
 use super::{is_in_progress, live_instances};
 use crate::units::Timestamp;
 use cherrystream_schema::messages::{
@@ -24,34 +25,15 @@
 const DEFAULT_LONGEST_TIME: Duration = Duration::from_millis(800);
 /// Longest time for which the completion waits for requests at the old backend servers.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(3);
-/// Time for a step to be committed.
-const COMMIT_TIME: Duration = Duration::from_millis(200);
 /// Time for the completion to be read before the deadline.
 const ACK_TIME: Duration = Duration::from_millis(100);
-/// Interval of the decisions.
-const DECISION_TIME: Duration = Duration::from_millis(100);
-/// Time from the first bad responses to the last request: service time, report, decision and step.
-const REACTION_TIME: Duration = Duration::from_millis(800);
 /// Interval at which daemons report their counts.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Slots of the canary, as a share of those of the old versions, that suffice for all requests.
 const MIN_SLOT_SHARE: f64 = 0.5;
-/// Responses of the canary that are obtained by a higher exposure, if the limit allows it.
-const MIN_CANARY_ANSWERS: f64 = 30.0;
-/// Responses of the canary required before a move that may exceed the limit.
-const MIN_MOVE_ANSWERS: f64 = 10.0;
-/// Largest exposure used to obtain these responses.
-const MAX_EVIDENCE_EXPOSURE: f64 = 0.5;
-/// Share of the limit that is used. The rest is for variations of the traffic.
-const USED_LIMIT_SHARE: f64 = 0.9;
-/// Variation of the traffic that an early move allows for, in standard deviations.
-const VARIATION: f64 = 2.0;
 /// Smallest relative change of the exposure that is committed as a step.
 const MIN_RELATIVE_STEP: f64 = 0.2;
 
-/// Exposure by the elapsed share of the allowed time.
-const SCHEDULE: [(f64, f64); 2] = [(0.0, 0.02), (0.15, 0.05)];
-
 /// Bounds on the requests sent to a canary.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -109,19 +91,6 @@
     drain_time: Duration,
 }
 
-/// Traffic expected until the deadline.
-#[derive(Clone, Copy, Debug)]
-struct Forecast {
-    /// Time until the deadline.
-    left: Duration,
-    /// Requests to all versions.
-    per_second: f64,
-    /// Requests sent to the canary, including those not reported yet.
-    sent: f64,
-    /// Requests that the canary may get until the deadline.
-    allowed: f64,
-}
-
 /// The last report of a daemon.
 #[derive(Debug)]
 struct HostReport {
@@ -291,7 +260,7 @@
     ) -> Option<Step> {
         let forecast = self.forecast(now, rollout, limits);
         let reason = format!("no regression in {} of {} responses", self.canary, self.total());
-        let is_late = forecast.left < self.time_to_complete();
+        let is_late = forecast.left < forecast.time_to_complete;
         match self.evaluator.suspicion() {
             Some(finding) if is_late && slots.are_sufficient() => {
                 let what =
@@ -309,7 +278,7 @@
         }
         let target = match slots.canary {
             0 => 0.0,
-            _ => self.exposure(now, rollout, &forecast),
+            _ => forecast.exposure(self.elapsed(now, rollout)),
         };
         let current = exposure_of(rollout);
         let is_toggled = (target == 0.0) != (current == 0.0);
@@ -332,13 +301,10 @@
     /// deadline stay within the limit, so that even an undetected regression does; at the latest
     /// when the drain of the old backend servers has to begin.
     fn may_move(&self, now: Timestamp, rollout: &Rollout, forecast: &Forecast) -> bool {
-        let moved = forecast.moved_within(forecast.left);
-        let variation = VARIATION * moved.sqrt();
-        let is_affordable = forecast.sent + moved + variation <= forecast.allowed;
-        let is_last_moment = forecast.left < self.time_to_complete() + DECISION_TIME;
-        let is_tried = is_affordable || self.canary as f64 >= MIN_MOVE_ANSWERS;
-        let is_tried_long = self.elapsed(now, rollout) >= MOVE_AT_SHARE;
-        is_tried_long && is_tried && (is_affordable || is_last_moment)
+        let is_last_moment = forecast.left < forecast.time_to_complete + DECISION_INTERVAL;
+        let has_been_tried = self.elapsed(now, rollout) >= MOVE_AT_SHARE;
+        let may_move = forecast.is_move_affordable() || is_last_moment && forecast.has_evidence();
+        has_been_tried && may_move
     }
 
     /// Returns the time from the move to the acknowledgement of the completion.
@@ -368,35 +334,14 @@
         let expected = self.total() as f64 + per_second * left.as_secs_f64();
         Forecast {
             left,
+            time_to_complete: self.time_to_complete(),
             per_second,
+            answered: self.canary as f64,
             sent: self.canary as f64 + f64::from(in_flight) + unreported,
-            allowed: USED_LIMIT_SHARE * (limits.share * expected + limits.slack),
+            limit: limits.share * expected + limits.slack,
         }
     }
 
-    /// Returns the share of requests sent to the canary while it is evaluated.
-    fn exposure(&self, now: Timestamp, rollout: &Rollout, forecast: &Forecast) -> f64 {
-        // Reserves what a move needs, until the deadline where that leaves enough for evidence.
-        let reserved = forecast.moved_within(self.time_to_complete() + DECISION_TIME);
-        let for_trial = match forecast.allowed - reserved {
-            rest if rest >= MIN_MOVE_ANSWERS => rest,
-            _ => forecast.allowed - forecast.within(REACTION_TIME),
-        };
-        if forecast.sent >= for_trial {
-            return 0.0;
-        }
-        let elapsed = self.elapsed(now, rollout);
-        let due = SCHEDULE.iter().rev().find(|(from, _)| elapsed >= *from);
-        let due = due.map_or(0.0, |(_, exposure)| *exposure);
-        let remaining = forecast.left.saturating_sub(self.time_to_complete());
-        let missing = (MIN_CANARY_ANSWERS - self.canary as f64).max(0.0);
-        let expected = forecast.within(remaining).max(1.0);
-        let for_evidence = (missing / expected).min(MAX_EVIDENCE_EXPOSURE);
-        // The first exposure stays small even if responses are lacking.
-        let is_past_first = elapsed >= SCHEDULE[1].0;
-        if is_past_first { due.max(for_evidence) } else { due }
-    }
-
     fn complete(&mut self, now: Timestamp, rollout: &Rollout, slots: Slots) -> Option<Step> {
         let drain_time = self.planned_drain_time.unwrap_or_else(|| self.drain_time());
         let moved = *self.moved.get_or_insert(Move { at: now, drain_time });
@@ -429,18 +374,6 @@
     }
 }
 
-impl Forecast {
-    /// Returns the requests to the canary within a time that begins with the decision to move.
-    fn moved_within(&self, time: Duration) -> f64 {
-        self.within(time.saturating_sub(COMMIT_TIME))
-    }
-
-    /// Returns the requests to all versions within a time.
-    fn within(&self, time: Duration) -> f64 {
-        self.per_second * time.as_secs_f64()
-    }
-}
-
 /// Returns the share of requests that the last step sends to the canary.
 fn exposure_of(rollout: &Rollout) -> f64 {
     f64::from(rollout.exposure_milli) / 1_000.0
--- a/crates/cherrystream-core/src/rollout/mod.rs
+++ b/crates/cherrystream-core/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 pub mod controller;
 pub mod counts;
 pub mod evaluation;
+mod forecast;
 pub mod guard;
 pub mod plan;
 
