Plans are confirmed although large changes displace the retained ones

What operators saw: beside an operator who replaces large route tables, a plan would still be refused with "too long ago to list", since the changes retained for daemons are dropped when large ones exceed their limit, and with them what decides whether a plan is affected.

Found by reading the rebase of plans. The new test (2,000 registrations between plan and confirmation) fails on the code before.

--- a/crates/cherrystream-core/src/state/changes.rs
+++ b/crates/cherrystream-core/src/state/changes.rs
@@ -2,11 +2,9 @@
 
 use super::ControlState;
 use crate::distribution;
-use crate::intent_scope;
-use crate::plan;
 use crate::shared;
-use crate::units::{DisplayRevision, Revision};
-use cherrystream_schema::messages::{Change, Intent, NumberedChange, Update};
+use crate::units::Revision;
+use cherrystream_schema::messages::{Change, NumberedChange, Update};
 
 /// Maximum number of retained changes. Daemons that are a little behind fetch only what they lack.
 const MAX_CHANGES: usize = 4_096;
@@ -33,13 +31,14 @@
 impl ControlState {
     /// Applies a change to the shared state and retains it.
     pub(super) fn share(&mut self, change: &Change, at: Revision) {
-        if let Change::Operator { .. } = change {
+        if let Change::Operator { intent } = change {
             let before = self.shared.config.clone();
             shared::apply(&mut self.shared, change);
             // A repeated command has no effect and must not invalidate plans.
             if self.shared.config == before {
                 return;
             }
+            self.recent_intents.record(at, intent, self.config_revision);
             self.config_revision = at;
         } else {
             shared::apply(&mut self.shared, change);
@@ -68,30 +67,6 @@
         }
     }
 
-    /// Describes the changes by operators after a revision.
-    pub(super) fn changes_since(&self, base: Revision) -> String {
-        describe(self.intents_since(base))
-    }
-
-    /// Describes the changes by operators after a revision that affect an intent; `None` if no
-    /// change does. If some of them are no longer retained, all are described.
-    pub(super) fn changes_affecting(&self, intent: &Intent, base: Revision) -> Option<String> {
-        if base < self.changes_after {
-            return Some(self.changes_since(base));
-        }
-        let affects = |(_, other): &(Revision, &Intent)| intent_scope::overlap(intent, other);
-        let mut affecting = self.intents_since(base).filter(affects).peekable();
-        affecting.peek()?;
-        Some(describe(affecting))
-    }
-
-    fn intents_since(&self, base: Revision) -> impl Iterator<Item = (Revision, &Intent)> {
-        self.newer_than(base).filter_map(|numbered| match &numbered.change {
-            Change::Operator { intent } => Some((numbered.revision, intent)),
-            _ => None,
-        })
-    }
-
     /// Returns which update a daemon at revision `held` needs.
     pub fn update_kind_since(&self, held: Revision) -> UpdateKind {
         // A lagging replica may be behind the daemon. A replica that skipped route tables and has
@@ -136,11 +111,3 @@
         self.changes.range(first..)
     }
 }
-
-fn describe<'a>(changes: impl Iterator<Item = (Revision, &'a Intent)>) -> String {
-    let describe = |(revision, intent): (Revision, &Intent)| {
-        format!("{} at {}", plan::describe(intent), DisplayRevision(revision))
-    };
-    let changes: Vec<String> = changes.map(describe).collect();
-    if changes.is_empty() { "too long ago to list".into() } else { changes.join(", ") }
-}
--- a/crates/cherrystream-core/src/state/mod.rs
+++ b/crates/cherrystream-core/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod plans;
+mod recent_intents;
 
 pub use changes::UpdateKind;
 
@@ -13,6 +14,7 @@
 use crate::units::Revision;
 use cherrystream_schema::messages;
 use messages::{ClaimReply, Command, Entry, NumberedChange, Plan, RouteOrder, RoutePatch, Shared};
+use recent_intents::RecentIntents;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -88,6 +90,9 @@
     /// Whether route tables were skipped since the last one that was applied.
     #[serde(skip)]
     skipped_routes: bool,
+    /// Not replicated: only the leader's decision to rebase a plan depends on it.
+    #[serde(skip)]
+    recent_intents: RecentIntents,
 }
 
 impl Default for ControlState {
@@ -104,6 +109,7 @@
             ledger: Ledger::default(),
             route_source: None,
             skipped_routes: false,
+            recent_intents: RecentIntents::default(),
         }
     }
 }
--- a/crates/cherrystream-core/src/state/plans.rs
+++ b/crates/cherrystream-core/src/state/plans.rs
@@ -59,7 +59,8 @@
             return Err(Error::Expired { plan: id.into() });
         }
         if plan.base_revision != self.config_revision {
-            return Err(Error::Conflict { changes: self.changes_since(plan.base_revision) });
+            let changes = self.recent_intents.describe_since(plan.base_revision);
+            return Err(Error::Conflict { changes });
         }
         let change = Change::Operator { intent: plan::with_start_time(&plan.intent, at_ms) };
         self.share(&change, at);
@@ -83,14 +84,17 @@
     /// Fails if the plan is missing, or affected by the changes since its base.
     pub fn rebase_plan(&self, id: &str, at_ms: u64) -> Result<Plan> {
         let plan = self.plan(id)?;
-        if let Some(changes) = self.changes_affecting(&plan.intent, plan.base_revision) {
+        if let Some(changes) =
+            self.recent_intents.describe_affecting(&plan.intent, plan.base_revision)
+        {
             return Err(Error::Conflict { changes });
         }
         let intent = plan::with_start_time(&plan.intent, at_ms);
         let is_as_shown = plan::outline(&self.shared, &intent)
             .is_ok_and(|now| now.steps == plan.steps && now.warnings == plan.warnings);
         if !is_as_shown {
-            return Err(Error::Conflict { changes: self.changes_since(plan.base_revision) });
+            let changes = self.recent_intents.describe_since(plan.base_revision);
+            return Err(Error::Conflict { changes });
         }
         // With its idempotency key, the recorded plan would be returned instead of replaced.
         Ok(Plan { base_revision: self.config_revision, request_key: None, ..plan.clone() })
--- a/crates/cherrystream-core/tests/plans.rs
+++ b/crates/cherrystream-core/tests/plans.rs
@@ -5,7 +5,7 @@
 use cherrystream_core::plan;
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Revision;
-use cherrystream_schema::messages::{Command, Entry, Intent, Plan, Shared};
+use cherrystream_schema::messages::{Change, Command, Entry, HostRecord, Intent, Plan, Shared};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -235,3 +235,42 @@
     let plan = log.state.plan_of("anna", &id).unwrap();
     assert_eq!((plan.id.as_str(), plan.accepted.is_some()), (id.as_str(), true));
 }
+
+fn put_service(service: &str, measuring_per_second: u64) -> Intent {
+    Intent::PutService { service: service.into(), measuring_per_second: measuring_per_second as _ }
+}
+
+/// Guards against plans that are refused because large changes by the platform displaced the changes
+/// by operators that are retained for daemons.
+#[test]
+fn large_changes_by_the_platform_between_do_not_conflict() {
+    let mut log = Log::default();
+    let id = log.plan(&put_service("mine", 5)).unwrap();
+    log.accept(&put_service("other", 5));
+    for incarnation in 0..2_000 {
+        let record = HostRecord {
+            host: "host-a".into(),
+            failure_domain: "a".into(),
+            region: "r".into(),
+            peer_address: "127.0.0.1:1".into(),
+            incarnation,
+            leaving: false,
+        };
+        log.commit(Command::ShareAll { changes: vec![Change::PutHost { record }] });
+    }
+    log.confirm(&id).unwrap();
+}
+
+/// Guards against an overwritten change of which a replica that starts from a snapshot knows nothing.
+#[test]
+fn a_change_before_a_restored_snapshot_conflicts() {
+    let mut log = Log::default();
+    log.accept(&put_service("mine", 5));
+    let id = log.plan(&put_service("mine", 6)).unwrap();
+    log.accept(&put_service("mine", 7));
+    let snapshot = serde_json::to_string(&log.state).unwrap();
+    log.state = serde_json::from_str(&snapshot).unwrap();
+    assert!(matches!(log.confirm(&id), Err(Error::Conflict { .. })));
+    log.accept(&put_service("other", 5));
+    assert!(matches!(log.confirm(&id), Err(Error::Conflict { .. })));
+}
