--- a/crates/cherrystream/tests/processes/control.rs
+++ b/crates/cherrystream/tests/processes/control.rs
@@ -75,6 +75,10 @@
     site.accept(service("before")).await;
     let planned = site.intend(&site.api(old), &service("lost-side")).await.unwrap();
     let plan = planned.json()["plan"].as_str().unwrap().to_string();
+    let overlapping =
+        json!({"intent": "put-service", "service": "kept-side", "measuring_per_second": 7});
+    let planned = site.intend(&site.api(old), &overlapping).await.unwrap();
+    let overlapping = planned.json()["plan"].as_str().unwrap().to_string();
     for ((from, to), relay) in &relays {
         if *from == old || *to == old {
             relay.set(Mode::Hold);
@@ -109,10 +113,17 @@
     .await;
     let here: Vec<&String> = here["config"]["services"].as_object().unwrap().keys().collect();
     assert_eq!(here, kept.iter().collect::<Vec<_>>());
-    // The plan confirmed during the partition is based on an older revision. It is refused now, or
-    // it was accepted completely.
+    // The plan confirmed during the partition affects no item that the majority changed: it is
+    // accepted now or was before, and reverts nothing. One that does is refused.
     let again = site.confirm(&site.api(old), &plan).await.unwrap();
-    assert_eq!(again.status == 200, kept.contains(&"lost-side".to_string()));
+    assert_eq!(again.status, 200);
+    let mut expected = [kept, vec!["lost-side".to_string()]].concat();
+    expected.sort();
+    expected.dedup();
+    assert_eq!(services(&site).await, expected);
+    let refused = site.confirm(&site.api(old), &overlapping).await.unwrap();
+    assert_eq!(refused.status, 409);
+    assert_eq!(services(&site).await, expected);
 }
 
 #[tokio::test(flavor = "multi_thread")]
