--- a/crates/cherrystream-core/src/rollout/forecast.rs
+++ b/crates/cherrystream-core/src/rollout/forecast.rs
@@ -1,5 +1,5 @@
-//! Forecast of the requests to a canary until the deadline of its roll-out, and how the limit on them
-//! is divided between the trial and the move of all requests.
+//! Forecast of the requests to a canary until the deadline of its roll-out, and the division of the
+//! limit on them between the trial and the move of all requests.
 
 use std::time::Duration;
 
--- a/crates/cherrystream-core/tests/plans.rs
+++ b/crates/cherrystream-core/tests/plans.rs
@@ -240,8 +240,8 @@
     Intent::PutService { service: service.into(), measuring_per_second: measuring_per_second as _ }
 }
 
-/// Guards against plans that are refused because large changes by the platform displaced the changes
-/// by operators that are retained for daemons.
+/// Guards against plans that are refused because large changes by the platform displaced the
+/// changes by operators that are retained for daemons.
 #[test]
 fn large_changes_by_the_platform_between_do_not_conflict() {
     let mut log = Log::default();
@@ -261,7 +261,7 @@
     log.confirm(&id).unwrap();
 }
 
-/// Guards against an overwritten change of which a replica that starts from a snapshot knows nothing.
+/// Guards against overwriting a change of which a replica that starts from a snapshot knows nothing.
 #[test]
 fn a_change_before_a_restored_snapshot_conflicts() {
     let mut log = Log::default();
--- a/crates/cherrystream-core/tests/rollouts/plays.rs
+++ b/crates/cherrystream-core/tests/rollouts/plays.rs
@@ -198,8 +198,8 @@
         let bounded = share(&|outcome| outcome.is_within(Limits::default()));
         let cut_off = share(&|outcome| outcome.cut_off > 0);
         println!(
-            "{class:?}: {completed:.4} completed, {rolled_back:.4} rolled back, {bounded:.4} within the limit, \
-             {cut_off:.4} completed with requests at old backend servers"
+            "{class:?}: {completed:.4} completed, {rolled_back:.4} rolled back, {bounded:.4} \
+             within the limit, {cut_off:.4} completed with requests at old backend servers"
         );
         for (least, most) in [(2.0, 20.0), (20.0, 60.0), (60.0, 200.0), (200.0, 600.0)] {
             let at_rate = outcomes.iter().filter(|(rate, _)| (least..most).contains(rate));
--- a/crates/cherrystream/tests/processes/operators.rs
+++ b/crates/cherrystream/tests/processes/operators.rs
@@ -45,7 +45,11 @@
 async fn of_two_racing_operators_one_is_refused_with_the_change() {
     let site = Site::with_control(3).await;
     let (first, second) = (site.api(1), site.api(2));
-    let put = |service: &str, measuring_per_second: u64| json!({"intent": "put-service", "service": service, "measuring_per_second": measuring_per_second});
+    let put = |service: &str, rate: u64| {
+        json!({
+            "intent": "put-service", "service": service, "measuring_per_second": rate
+        })
+    };
     let a = planned(&site, &first, &put("quotes", 5)).await;
     let b = planned(&site, &second, &put("quotes", 6)).await;
     let unrelated = planned(&site, &second, &put("payouts", 5)).await;
