Failed calls through the leader are traced, and followers log the leader they follow

What callers saw: reads of the configuration that end in silence, with nothing about them in any log of a replica. The three hypotheses of docs/incidents/config.md could not be told apart: no line or metric said that a read had started, at which step it stood, over which connection, or which leader a follower believed in.

Each read to confirm and each forwarded operator call has a trace that records on drop, so that a call whose caller has left is counted too (end=cancelled). Metric cherrystream_control_failed_calls_total{call,step,end}, one line each within the log budget, with the age of the connection; cherrystream_control_leader and leader_changes_total on every replica. No decision changes.

--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -347,8 +347,10 @@
         self.metrics.commit.set(self.raft.commit() as i64);
         self.metrics.leads.set(i64::from(status.leads));
         self.metrics.log_bytes.set(self.store.bytes() as i64);
-        if self.status.borrow().leader != status.leader {
+        let last_leader = self.status.borrow().leader;
+        if last_leader != status.leader {
             self.peers.note_leader(status.leader);
+            self.record_leader(status);
         }
         self.status.send_if_modified(|old| {
             let changed = *old != status;
@@ -357,6 +359,19 @@
         });
     }
 
+    fn record_leader(&self, status: LogStatus) {
+        let (id, term) = (self.raft.id(), status.term);
+        match status.leader {
+            Some(leader) if leader != id => {
+                log::info!("control: replica {id} follows replica {leader} in term {term}");
+            }
+            Some(_) => {}
+            None => log::info!("control: replica {id} knows no leader in term {term}"),
+        }
+        self.metrics.leader.set(status.leader.map_or(0, |leader| leader as i64));
+        self.metrics.leader_changes.inc();
+    }
+
     /// Publishes the addresses of the replicas and the time of the last quorum contact.
     fn publish_group(&mut self) {
         let now = self.clock.now();
--- a/crates/cherrystream-control/src/metrics.rs
+++ b/crates/cherrystream-control/src/metrics.rs
@@ -13,6 +13,17 @@
     pub reason: &'static str,
 }
 
+/// Label of a call through the leader that failed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FailedCallLabel {
+    /// Kind of the call, such as `read`.
+    pub call: &'static str,
+    /// Step at which it failed, such as `answer`.
+    pub step: &'static str,
+    /// How it ended: `failed`, or `cancelled` if its caller has left.
+    pub end: &'static str,
+}
+
 /// Metrics of the control role.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
@@ -28,6 +39,12 @@
     pub commit: Gauge,
     /// 1 on the leader, 0 on the other replicas.
     pub leads: Gauge,
+    /// The leader that this replica follows; 0 if none is known.
+    pub leader: Gauge,
+    /// Changes of the leader that this replica follows.
+    pub leader_changes: Counter,
+    /// Calls through the leader that failed.
+    pub failed_calls: Family<FailedCallLabel, Counter>,
     /// Syncs of the log to disk.
     pub syncs: Counter,
     /// Size of the log file in bytes.
@@ -50,6 +67,17 @@
         registry.register("term", "Term of the replicated log", self.term.clone());
         registry.register("commit", "Commit index of the replicated log", self.commit.clone());
         registry.register("leads", "1 on the leader", self.leads.clone());
+        registry.register("leader", "Leader that is followed; 0 if unknown", self.leader.clone());
+        registry.register(
+            "leader_changes",
+            "Changes of the leader that is followed",
+            self.leader_changes.clone(),
+        );
+        registry.register(
+            "failed_calls",
+            "Calls through the leader that failed, by the step that they had reached",
+            self.failed_calls.clone(),
+        );
         registry.register("syncs", "Writes made durable", self.syncs.clone());
         registry.register("log_bytes", "Bytes of the log file", self.log_bytes.clone());
         registry.register(
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -1,5 +1,6 @@
 //! Handles operator calls: intents, plans, confirmations, configuration and status.
 
+use crate::call_trace::{CallKind, CallTrace, CallTraces, Step};
 use crate::daemon_registry::{self, DaemonRegistry};
 use crate::handle::{Handle, NoResult};
 use crate::peers::ReplicaConnection;
@@ -47,6 +48,8 @@
     pub reach: Arc<DaemonRegistry>,
     /// Held while a plan is confirmed, exclusively while one is rebased.
     pub confirmations: Arc<tokio::sync::RwLock<()>>,
+    /// Records calls that fail.
+    pub traces: CallTraces,
 }
 
 impl Operators {
@@ -56,15 +59,19 @@
         if status.leads {
             return self.answer_here(&call).await;
         }
+        let mut trace = self.traces.start(CallKind::Operator);
+        trace.reach(Step::Leader);
         let client = match status.leader {
-            Some(leader) => self.client_of(leader).await,
+            Some(leader) => self.client_of(leader, &mut trace).await,
             None => None,
         };
-        let Some(client) = client else { return no_leader() };
-        match client.operator(call).await {
-            Ok(answer) => answer,
-            Err(_) => unknown_outcome(),
-        }
+        let Some(client) = client else {
+            trace.finish(false);
+            return no_leader();
+        };
+        let answer = client.operator(call).await;
+        trace.finish(answer.is_ok());
+        answer.unwrap_or_else(|_| unknown_outcome())
     }
 
     /// Handles a call on this replica.
@@ -122,18 +129,36 @@
     ///
     /// Fails if no quorum confirms the read.
     pub async fn confirm_read(&self) -> Result<(), NoResult> {
+        let mut trace = self.traces.start(CallKind::Read);
+        let confirmed = self.confirm_read_traced(&mut trace).await;
+        trace.finish(confirmed.is_ok());
+        confirmed
+    }
+
+    async fn confirm_read_traced(&self, trace: &mut CallTrace<'_>) -> Result<(), NoResult> {
         let leader = match self.handle.read().await {
             Ok(_) => return Ok(()),
             Err(NoResult::NotLeader { leader: Some(leader) }) => leader,
-            Err(e) => return Err(e),
+            Err(e) => {
+                trace.reach(if e == NoResult::Unknown { Step::OwnLog } else { Step::Leader });
+                return Err(e);
+            }
         };
-        let client = self.client_of(leader).await.ok_or(NoResult::Unknown)?;
+        let client = self.client_of(leader, trace).await.ok_or(NoResult::Unknown)?;
         let index = client.read_index().await.map_err(|_| NoResult::Unknown)?;
+        trace.reach(Step::Apply);
         self.handle.applied(index).await
     }
 
-    async fn client_of(&self, replica: u64) -> Option<Arc<WsClient>> {
-        self.connections.get(&replica)?.client().await
+    /// Returns the client of a leader.
+    async fn client_of(&self, leader: u64, trace: &mut CallTrace<'_>) -> Option<Arc<WsClient>> {
+        trace.set_leader(leader);
+        trace.reach(Step::Connect);
+        let connection = self.connections.get(&leader)?;
+        let client = connection.client().await?;
+        trace.set_connection_age(connection.age());
+        trace.reach(Step::Answer);
+        Some(client)
     }
 
     async fn intent(&self, call: &OperatorCall) -> OperatorAnswer {
--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -214,6 +214,8 @@
     timeout: Duration,
     /// The open connection and the address that it leads to.
     client: Mutex<Option<(String, Arc<WsClient>)>>,
+    /// When the open connection was opened.
+    opened_at: RwLock<Option<Instant>>,
 }
 
 impl ReplicaConnection {
@@ -224,6 +226,7 @@
             key,
             timeout: CALL_TIMEOUT,
             client: Mutex::new(None),
+            opened_at: RwLock::new(None),
         }
     }
 
@@ -240,6 +243,7 @@
             key: self.key.clone(),
             timeout: timeout_for(bytes),
             client: Mutex::new(None),
+            opened_at: RwLock::new(None),
         }
     }
 
@@ -270,6 +274,7 @@
             Ok(client) => {
                 let client = Arc::new(client);
                 *slot = Some((address, client.clone()));
+                *self.opened_at.write() = Some(Instant::now());
                 Some(client)
             }
             Err(e) => {
@@ -279,8 +284,14 @@
         }
     }
 
+    /// Returns the age of the open connection.
+    pub fn age(&self) -> Option<Duration> {
+        self.opened_at.read().map(|at| at.elapsed())
+    }
+
     /// Closes the connection. The next call opens a new one.
     pub async fn drop_client(&self) {
         *self.client.lock().await = None;
+        *self.opened_at.write() = None;
     }
 }
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -1,6 +1,7 @@
 //! Starts and stops the control role.
 
 use crate::api::{Api, Operator};
+use crate::call_trace::CallTraces;
 use crate::daemon_registry::DaemonRegistry;
 use crate::distribution::Distribution;
 use crate::driver;
@@ -99,6 +100,7 @@
             connections: connections.clone(),
             reach: reach.clone(),
             confirmations: Arc::default(),
+            traces: CallTraces::new(cx.metrics.clone()),
         };
         let limits =
             LedgerLimits { window_ms: settings.key_window_ms, max_keys: settings.keys_at_most };
