--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod places;
 mod rollouts;
+mod silence;
 // Shared with the soak test, which uses more of it.
 #[allow(dead_code)]
 mod support;
--- /dev/null
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -0,0 +1,136 @@
+//! Open connections that go silent for good, without a reset, while new ones work.
+
+use super::support::client::{self, Ask};
+use super::support::relay::{Relay, Silenced};
+use super::support::site::Site;
+use super::support::wait;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Longest time until every replica answers again.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a replica is no longer asked.
+const GIVE_UP: Duration = Duration::from_secs(8);
+/// Pause between two calls of one operator.
+const CALL_PAUSE: Duration = Duration::from_millis(20);
+/// Times after which operators give up a call.
+const PATIENCES: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_secs(1), Duration::from_secs(5)];
+
+/// Three control replicas, each of which reaches the others by relays.
+struct Group {
+    site: Site,
+    relays: BTreeMap<(u64, u64), Relay>,
+}
+
+impl Group {
+    async fn start() -> Group {
+        let mut site = Site::new(3);
+        let mut relays = BTreeMap::new();
+        for from in 1..=3 {
+            for to in (1..=3).filter(|to| *to != from) {
+                let port = 7600 + (from * 10 + to) as u16;
+                let relay = Relay::start(&site.address(port), &site.rpc(to)).await;
+                site.control_lines.push(((from, to), relay.address.clone()));
+                relays.insert((from, to), relay);
+            }
+        }
+        for replica in 1..=3 {
+            site.start_control(replica);
+        }
+        // Every replica has open connections before they go silent.
+        for replica in 1..=3 {
+            wait::until("the replica answers", || async {
+                let answer = client::send(&site.api(replica), &Ask::get("/v1/config")).await?;
+                (answer.status == 200).then_some(())
+            })
+            .await;
+        }
+        Group { site, relays }
+    }
+
+    fn silence(&self, silenced: Silenced, affects: impl Fn(u64, u64) -> bool) {
+        let affected = self.relays.iter().filter(|((from, to), _)| affects(*from, *to));
+        affected.for_each(|(_, relay)| relay.silence(silenced));
+    }
+}
+
+/// Calls a replica again and again, and returns the time until its first successful answer.
+async fn first_answer(
+    api: String,
+    patience: Duration,
+    ask: impl Fn(u32) -> Ask,
+) -> Option<Duration> {
+    let start = Instant::now();
+    for n in 0.. {
+        if start.elapsed() > GIVE_UP {
+            break;
+        }
+        let answer = tokio::time::timeout(patience, client::send(&api, &ask(n))).await;
+        if answer.ok().flatten().is_some_and(|answer| answer.status.is_success()) {
+            return Some(start.elapsed());
+        }
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    None
+}
+
+fn intent(replica: u64, n: u32) -> Ask {
+    let name = format!("added-{replica}-{n}");
+    let intent = json!({"intent": "put-service", "service": name, "measuring_per_second": 5});
+    Ask::post("/v1/intents", intent.to_string())
+}
+
+/// Silences connections of a group; returns what did not succeed in time.
+async fn violations(
+    silenced: Silenced,
+    patience: Duration,
+    affects: impl Fn(u64, u64, u64) -> bool,
+) -> Vec<String> {
+    let group = Group::start().await;
+    let leader = group.site.leader().await;
+    group.silence(silenced, |from, to| affects(leader, from, to));
+    let mut late = Vec::new();
+    let mut calls = tokio::task::JoinSet::new();
+    for replica in 1..=3 {
+        let api = group.site.api(replica);
+        let read = first_answer(api.clone(), patience, |_| Ask::get("/v1/config"));
+        let change = first_answer(api, patience, move |n| intent(replica, n));
+        calls.spawn(async move { (replica, "read", read.await) });
+        calls.spawn(async move { (replica, "intent", change.await) });
+    }
+    for (replica, call, took) in calls.join_all().await {
+        if took.is_none_or(|took| took > RECOVERY_TIMEOUT) {
+            late.push(format!(
+                "{call} at replica {replica} (leader {leader}, {silenced:?}, {patience:?}): {took:?}"
+            ));
+        }
+    }
+    late
+}
+
+async fn check(affects: impl Fn(u64, u64, u64) -> bool + Copy) {
+    let mut late = Vec::new();
+    for patience in PATIENCES {
+        let (both, there, back) = tokio::join!(
+            violations(Silenced::Both, patience, affects),
+            violations(Silenced::There, patience, affects),
+            violations(Silenced::Back, patience, affects),
+        );
+        late.extend([both, there, back].concat());
+    }
+    assert!(late.is_empty(), "not within {RECOVERY_TIMEOUT:?}:\n{}", late.join("\n"));
+}
+
+/// Guards against followers that send calls on a silent connection to the leader for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_answer_after_their_connections_to_the_leader_go_silent() {
+    check(|leader, from, to| from != leader && to == leader).await;
+}
+
+/// Guards against replicas that stay unreachable for each other after an election.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_answer_after_all_connections_between_them_go_silent() {
+    check(|_, _, _| true).await;
+}
--- a/crates/cherrystream/tests/processes/support/relay.rs
+++ b/crates/cherrystream/tests/processes/support/relay.rs
@@ -1,6 +1,7 @@
-//! TCP relay that can hold, delay, throttle or cut connections.
+//! TCP relay that can hold, delay, throttle, cut or silence connections.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -77,10 +78,30 @@
     }
 }
 
+/// Directions of the open connections that [`Relay::silence`] affects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silenced {
+    /// Both directions.
+    Both,
+    /// Only from the client to the server.
+    There,
+    /// Only from the server to the client.
+    Back,
+}
+
+/// Counts the calls of [`Relay::silence`] for each direction. A connection forwards nothing in a
+/// direction whose count has changed since the connection was accepted.
+#[derive(Default)]
+struct Silences {
+    there: AtomicU64,
+    back: AtomicU64,
+}
+
 /// A relay to one address.
 pub struct Relay {
     pub address: String,
     mode: Arc<watch::Sender<Mode>>,
+    silences: Arc<Silences>,
 }
 
 impl Relay {
@@ -94,16 +115,29 @@
         let listener = listen_on(listen);
         let address = listener.local_addr().unwrap().to_string();
         let mode = Arc::new(watch::Sender::new(Mode::Pass));
-        let (tx, to) = (mode.clone(), to.to_string());
+        let silences = Arc::<Silences>::default();
+        let (tx, to, counts) = (mode.clone(), to.to_string(), silences.clone());
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
                 if *tx.borrow() == Mode::Cut {
                     continue;
                 }
-                tokio::spawn(forward(near, to.clone(), line.clone(), tx.subscribe()));
+                let silences = counts.clone();
+                tokio::spawn(forward(near, to.clone(), line.clone(), tx.subscribe(), silences));
             }
         });
-        Relay { address, mode }
+        Relay { address, mode, silences }
+    }
+
+    /// Silences the connections that are open now, for good: their bytes are discarded, and neither
+    /// end learns of it. New connections are not affected.
+    pub fn silence(&self, silenced: Silenced) {
+        if matches!(silenced, Silenced::Both | Silenced::There) {
+            self.silences.there.fetch_add(1, Ordering::Relaxed);
+        }
+        if matches!(silenced, Silenced::Both | Silenced::Back) {
+            self.silences.back.fetch_add(1, Ordering::Relaxed);
+        }
     }
 
     /// Sets the mode of the relay.
@@ -126,32 +160,81 @@
     socket.connect(address.parse().unwrap()).await.ok()
 }
 
-async fn forward(near: TcpStream, to: String, line: Line, mut mode: watch::Receiver<Mode>) {
+async fn forward(
+    near: TcpStream,
+    to: String,
+    line: Line,
+    mut mode: watch::Receiver<Mode>,
+    silences: Arc<Silences>,
+) {
+    let there_silence = Silence::new(&silences.there);
+    let back_silence = Silence::new(&silences.back);
     let Some(far) = connect(&to).await else { return };
     // Received bytes are forwarded without delay.
     if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
         return;
     }
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    let there = pump(near_read, far_write, &line.there, mode.clone(), Mode::passes_there);
-    let back = pump(far_read, near_write, &line.back, mode.clone(), Mode::passes_back);
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    let there = pump(
+        &mut near_read,
+        &mut far_write,
+        &line.there,
+        mode.clone(),
+        Mode::passes_there,
+        there_silence,
+    );
+    let back = pump(
+        &mut far_read,
+        &mut near_write,
+        &line.back,
+        mode.clone(),
+        Mode::passes_back,
+        back_silence,
+    );
     tokio::select! {
         _ = async { tokio::join!(there, back) } => {}
         _ = mode.wait_for(|m| *m == Mode::Cut) => {}
     }
 }
 
+/// Whether one direction of a connection has been silenced since the connection was accepted.
+struct Silence<'a> {
+    count: &'a AtomicU64,
+    at_start: u64,
+}
+
+impl Silence<'_> {
+    fn new(count: &AtomicU64) -> Silence<'_> {
+        Silence { count, at_start: count.load(Ordering::Relaxed) }
+    }
+
+    fn is_on(&self) -> bool {
+        self.count.load(Ordering::Relaxed) != self.at_start
+    }
+}
+
 async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     direction: &Direction,
     mut mode: watch::Receiver<Mode>,
     passes: fn(&Mode) -> bool,
+    silence: Silence<'_>,
 ) {
     let mut buf = vec![0; 16 * 1024];
-    while let Ok(n) = from.read(&mut buf).await {
+    loop {
+        let read = from.read(&mut buf).await;
+        if silence.is_on() {
+            // The end of the connection is not passed on either.
+            if !matches!(read, Ok(n) if n > 0) {
+                return;
+            }
+            continue;
+        }
+        let n = read.unwrap_or(0);
         if n == 0 || mode.wait_for(passes).await.is_err() {
+            let _ = to.shutdown().await;
             return;
         }
         let now = *mode.borrow();
@@ -160,7 +243,8 @@
             Mode::Rate(rate) => direction.throttle(n, rate).await,
             _ => {}
         }
-        if to.write_all(&buf[..n]).await.is_err() {
+        if !silence.is_on() && to.write_all(&buf[..n]).await.is_err() {
+            let _ = to.shutdown().await;
             return;
         }
     }
