Connections between replicas that go silent are replaced by a task that outlives the calls

What callers saw: after open connections between replicas went silent without a reset, followers answered no read and no intent for as long as they were asked, at any patience; the leader answered again after 3.0 to 3.9 s.

Cause: failure detection was bound to the life of a call. A kept connection was given up only where a call saw an error; a caller that leaves first cancels the call before its timeout, and calls of reads and operators never closed it at all. is_connected() stays true until TCP gives up.

A ManagedClient owns the connection. Its task opens it on demand, sends WebSocket pings (the option of jsonrpsee) and observes the bytes that arrive: pings are answered only if both directions work. After 500 ms without a byte, more while written bytes are under way (50 KB/s), it opens a new connection, and only once that is open the old one is aborted, so that calls on it fail at once. A peer that is slow or suspended completes no new connection, and its old one is kept. The library's own closing of inactive connections counts complete messages only and takes up to twice its limit, so it serves as a backstop. 500 ms and the replacement end before a leader misses its quorum (1 s), so no election is needed. TCP_USER_TIMEOUT covers peers whose host is gone. The decision is core::keep_alive, without I/O.

--- a/crates/cherrystream-bench/src/light.rs
+++ b/crates/cherrystream-bench/src/light.rs
@@ -4,11 +4,11 @@
 use cherrystream_core::transfer::PieceSize;
 use cherrystream_net::chunks;
 use cherrystream_net::clock::Clock;
-use cherrystream_net::rpc::{self, ControlRpcClient};
+use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{
     ChunkRequest, HostRecord, Offer, Revision, SyncReply, SyncRequest,
 };
-use jsonrpsee::ws_client::WsClient;
+
 use rand::Rng;
 use serde::Serialize;
 use std::sync::Arc;
@@ -98,7 +98,7 @@
 
 /// A light daemon's connection to its replica.
 struct Connection {
-    client: WsClient,
+    client: Client,
     record: HostRecord,
     bytes: Arc<AtomicU64>,
 }
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -13,9 +13,8 @@
 use cherrystream_core::workspaces;
 use cherrystream_net::clock;
 use cherrystream_net::interface::CommandOutcome;
-use cherrystream_net::rpc::ControlRpcClient;
+use cherrystream_net::rpc::{Client, ControlRpcClient};
 use cherrystream_schema::messages;
-use jsonrpsee::ws_client::WsClient;
 use messages::{
     Command, ConfigReply, ConfirmReply, DaemonStatus, ErrorReply, Intent, OperatorAnswer,
     OperatorCall, Plan, PlanReply, ReplicaStatus, Shared, StatusReply,
@@ -151,7 +150,7 @@
     }
 
     /// Returns the client of a leader.
-    async fn client_of(&self, leader: u64, trace: &mut CallTrace<'_>) -> Option<Arc<WsClient>> {
+    async fn client_of(&self, leader: u64, trace: &mut CallTrace<'_>) -> Option<Arc<Client>> {
         trace.set_leader(leader);
         trace.reach(Step::Connect);
         let connection = self.connections.get(&leader)?;
--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -5,14 +5,16 @@
 use crate::queue::Queue;
 use cherrystream_core::transfer::{self, PieceSize, Sending};
 use cherrystream_net::key::Secret;
-use cherrystream_net::rpc::{self, ControlRpcClient};
+use cherrystream_net::managed_client::{
+    ConnectionMetrics, KEEP_ALIVE, ManagedClient, ManagedClientOptions,
+};
+use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{PieceReply, RaftMessage};
-use jsonrpsee::ws_client::WsClient;
-use parking_lot::RwLock;
+use jsonrpsee::core::client::Error as ClientError;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::Mutex;
+use tokio::sync::watch;
 use tokio::task::{self, JoinSet};
 
 /// Timeout of a call with short messages or with one piece of a long message. The size of such a
@@ -47,7 +49,7 @@
         for (id, connection) in others {
             let queue = Arc::new(Queue::new(metrics.clone()));
             tasks.spawn(send_short(connection.clone(), queue.clone()));
-            tasks.spawn(send_long(own, connection.sibling(), queue.clone()));
+            tasks.spawn(send_long(own, connection.for_transfers(), queue.clone()));
             queues.insert(*id, queue);
         }
         Peers { own, queues, connections: others.clone(), metrics, _tasks: Arc::new(tasks) }
@@ -94,7 +96,7 @@
 async fn send_short(connection: Arc<ReplicaConnection>, queue: Arc<Queue>) {
     loop {
         let messages = queue.next_short().await;
-        let Some(client) = connection.client().await else {
+        let Some(client) = connection.any_client().await else {
             // Queued messages are stale by the time the replica is reachable again.
             queue.finish_short(false);
             queue.drop_short();
@@ -108,11 +110,18 @@
                 "control: sending messages to replica at {} failed: {e}",
                 connection.address()
             );
-            connection.drop_client().await;
+            close_unless_answer(&client, &e);
         }
     }
 }
 
+/// Closes the connection of a call that failed without an answer.
+fn close_unless_answer(client: &Client, e: &ClientError) {
+    if !rpc::is_answer(e) {
+        client.activity().abort();
+    }
+}
+
 /// Sends long messages in pieces, on a separate connection so that short messages never wait for
 /// them.
 async fn send_long(own: u64, connection: ReplicaConnection, queue: Arc<Queue>) {
@@ -191,9 +200,7 @@
                 "control: sending a piece to replica at {} failed: {e}",
                 connection.address()
             );
-            if !rpc::is_answer(&e) {
-                connection.drop_client().await;
-            }
+            close_unless_answer(&client, &e);
             None
         }
     }
@@ -209,89 +216,80 @@
 
 /// A connection to a replica that is kept open between calls.
 pub struct ReplicaConnection {
-    address: Arc<RwLock<String>>,
-    key: Option<Secret>,
-    timeout: Duration,
-    /// The open connection and the address that it leads to.
-    client: Mutex<Option<(String, Arc<WsClient>)>>,
-    /// When the open connection was opened.
-    opened_at: RwLock<Option<Instant>>,
+    address: Arc<watch::Sender<String>>,
+    opts: ManagedClientOptions,
+    client: ManagedClient,
 }
 
 impl ReplicaConnection {
     /// Creates a connection that is opened by the first call.
     pub fn new(address: &str, key: Option<Secret>) -> ReplicaConnection {
-        ReplicaConnection {
-            address: Arc::new(RwLock::new(address.into())),
+        let opts = ManagedClientOptions {
             key,
-            timeout: CALL_TIMEOUT,
-            client: Mutex::new(None),
-            opened_at: RwLock::new(None),
-        }
+            call_timeout: CALL_TIMEOUT,
+            keep_alive: Some(KEEP_ALIVE),
+            metrics: ConnectionMetrics::default(),
+        };
+        ReplicaConnection::with(Arc::new(watch::Sender::new(address.into())), opts)
+    }
+
+    fn with(address: Arc<watch::Sender<String>>, opts: ManagedClientOptions) -> ReplicaConnection {
+        let client = ManagedClient::new(address.subscribe(), opts.clone());
+        ReplicaConnection { address, opts, client }
     }
 
     /// Creates a separate connection to the same replica. Both follow changes of its address.
     pub fn sibling(&self) -> ReplicaConnection {
-        self.for_bytes(0)
+        ReplicaConnection::with(self.address.clone(), self.opts.clone())
     }
 
     /// Creates a connection like [`ReplicaConnection::sibling`] whose timeout covers the transfer
     /// of `bytes` and the commit on the leader.
     pub fn for_bytes(&self, bytes: usize) -> ReplicaConnection {
-        ReplicaConnection {
-            address: self.address.clone(),
-            key: self.key.clone(),
-            timeout: timeout_for(bytes),
-            client: Mutex::new(None),
-            opened_at: RwLock::new(None),
-        }
+        let opts = ManagedClientOptions {
+            call_timeout: timeout_for(bytes),
+            keep_alive: None,
+            ..self.opts.clone()
+        };
+        ReplicaConnection::with(self.address.clone(), opts)
+    }
+
+    /// Creates a connection for long messages. Nothing is received while a piece is sent, so the
+    /// timeout of its call detects a silent connection.
+    fn for_transfers(&self) -> ReplicaConnection {
+        let opts = ManagedClientOptions { keep_alive: None, ..self.opts.clone() };
+        ReplicaConnection::with(self.address.clone(), opts)
     }
 
     /// Returns the RPC address of the replica.
     pub fn address(&self) -> String {
-        self.address.read().clone()
+        self.address.borrow().clone()
     }
 
     /// Records the current address of the replica. Returns whether it changed.
     pub fn set_address(&self, address: &str) -> bool {
-        let mut current = self.address.write();
-        let changed = *current != address;
-        if changed {
-            *current = address.into();
-        }
-        changed
+        self.address.send_if_modified(|current| {
+            let changed = *current != address;
+            if changed {
+                *current = address.into();
+            }
+            changed
+        })
     }
 
-    /// Returns the client. Connects first if there is no open connection to the current address.
-    pub async fn client(&self) -> Option<Arc<WsClient>> {
-        let address = self.address();
-        let mut slot = self.client.lock().await;
-        let open = slot.as_ref().filter(|(at, c)| *at == address && c.is_connected());
-        if let Some((_, client)) = open {
-            return Some(client.clone());
-        }
-        match rpc::connect(&address, self.key.as_ref(), self.timeout).await {
-            Ok(client) => {
-                let client = Arc::new(client);
-                *slot = Some((address, client.clone()));
-                *self.opened_at.write() = Some(Instant::now());
-                Some(client)
-            }
-            Err(e) => {
-                log::debug!("control: {e}");
-                None
-            }
-        }
+    /// Returns a client to call, or `None` if the replica is unreachable.
+    pub async fn client(&self) -> Option<Arc<Client>> {
+        self.client.client().await
     }
 
-    /// Returns the age of the open connection.
-    pub fn age(&self) -> Option<Duration> {
-        self.opened_at.read().map(|at| at.elapsed())
+    /// Like [`ReplicaConnection::client`], but returns a silent connection too. For messages that
+    /// may be lost.
+    pub async fn any_client(&self) -> Option<Arc<Client>> {
+        self.client.any_client().await
     }
 
-    /// Closes the connection. The next call opens a new one.
-    pub async fn drop_client(&self) {
-        *self.client.lock().await = None;
-        *self.opened_at.write() = None;
+    /// Returns the age of the open connection.
+    pub fn age(&self) -> Option<Duration> {
+        self.client.age()
     }
 }
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod health;
 pub mod instances;
 mod intent_scope;
+pub mod keep_alive;
 pub mod kinds;
 pub mod ledger;
 pub mod log_budget;
--- a/crates/cherrystream-daemon/src/ledger.rs
+++ b/crates/cherrystream-daemon/src/ledger.rs
@@ -1,10 +1,9 @@
 //! Client of the ledger: has the leader of control record claims.
 
 use cherrystream_net::key::Secret;
-use cherrystream_net::rpc::{self, ControlRpcClient};
+use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{ClaimReply, ClaimRequest, ReleaseRequest};
 use jsonrpsee::core::client::Error as ClientError;
-use jsonrpsee::ws_client::WsClient;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +25,7 @@
 pub struct LedgerClient {
     addresses: Vec<String>,
     key: Option<Secret>,
-    clients: Mutex<HashMap<String, Arc<WsClient>>>,
+    clients: Mutex<HashMap<String, Arc<Client>>>,
     leader: parking_lot::Mutex<String>,
 }
 
@@ -89,7 +88,7 @@
     async fn call<T>(
         &self,
         address: &str,
-        f: impl AsyncFnOnce(Arc<WsClient>) -> Result<T, ClientError>,
+        f: impl AsyncFnOnce(Arc<Client>) -> Result<T, ClientError>,
     ) -> Result<T, Option<String>> {
         let client = self.client(address).await.ok_or(None)?;
         match f(client).await {
@@ -104,7 +103,7 @@
         }
     }
 
-    async fn client(&self, address: &str) -> Option<Arc<WsClient>> {
+    async fn client(&self, address: &str) -> Option<Arc<Client>> {
         let mut clients = self.clients.lock().await;
         if let Some(client) = clients.get(address).filter(|c| c.is_connected()) {
             return Some(client.clone());
--- a/crates/cherrystream-daemon/src/sync/downloads.rs
+++ b/crates/cherrystream-daemon/src/sync/downloads.rs
@@ -11,10 +11,9 @@
 use cherrystream_net::chunks;
 use cherrystream_net::clock::Clock;
 use cherrystream_net::key::Secret;
-use cherrystream_net::rpc::ControlRpcClient;
+use cherrystream_net::rpc::{Client, ControlRpcClient};
 use cherrystream_schema::messages::{ChunkRequest, Fetching, HostRecord, Offer, StateId};
 use http::{Request, StatusCode};
-use jsonrpsee::ws_client::WsClient;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -90,7 +89,7 @@
     deps: Dependencies,
     job: Mutex<Option<Job>>,
     /// Connection to the replica that this daemon follows.
-    control: watch::Sender<Option<Arc<WsClient>>>,
+    control: watch::Sender<Option<Arc<Client>>>,
     job_started: Notify,
     /// Number of ended downloads, successful or not.
     ended: watch::Sender<u64>,
@@ -109,7 +108,7 @@
     }
 
     /// Sets the connection to the replica that this daemon follows.
-    pub fn set_control(&self, client: Option<Arc<WsClient>>) {
+    pub fn set_control(&self, client: Option<Arc<Client>>) {
         self.control.send_replace(client);
     }
 
--- a/crates/cherrystream-daemon/src/sync/mod.rs
+++ b/crates/cherrystream-daemon/src/sync/mod.rs
@@ -17,10 +17,9 @@
 use cherrystream_net::body::{self, Start};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::key::Secret;
-use cherrystream_net::rpc::{self, ControlRpcClient};
+use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_net::serve::{Phase, Phases};
 use cherrystream_schema::messages::{HostRecord, Offer, SyncReply, SyncRequest, Update};
-use jsonrpsee::ws_client::WsClient;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -125,7 +124,7 @@
         }
     }
 
-    async fn connect(&self, address: &str, confirmed: bool) -> Result<WsClient, String> {
+    async fn connect(&self, address: &str, confirmed: bool) -> Result<Client, String> {
         let connecting = rpc::connect(address, self.key.as_ref(), self.call_timeout());
         if confirmed || self.fixed {
             return connecting.await.map_err(|e| e.to_string());
@@ -160,7 +159,7 @@
     /// replica of another failure domain when a nearer one is available.
     async fn follow(
         &self,
-        client: &WsClient,
+        client: &Client,
         address: &str,
         search: &mut ControlSearch,
     ) -> LeaveReason {
@@ -211,7 +210,7 @@
     /// Makes one heartbeat call; abandons it when a local change has to be reported first.
     async fn call(
         &self,
-        client: &WsClient,
+        client: &Client,
         confirmed: bool,
         looks_in: bool,
         changes: &mut LocalChanges,
--- /dev/null
+++ b/crates/cherrystream-net/src/activity.rs
@@ -0,0 +1,142 @@
+//! Observes the traffic of a connection, and aborts the connection.
+
+use crate::clock::Clock;
+use cherrystream_core::keep_alive::Traffic;
+use cherrystream_core::units::Timestamp;
+use futures_util::task::AtomicWaker;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Activity of a connection, shared between its stream and its owner.
+#[derive(Debug)]
+pub struct Activity {
+    clock: Clock,
+    opened: Timestamp,
+    /// Time of the last received byte, in microseconds on `clock`.
+    last_received: AtomicU64,
+    written_since: AtomicU64,
+    aborted: AtomicBool,
+    reader: AtomicWaker,
+    writer: AtomicWaker,
+}
+
+impl Activity {
+    /// Creates the activity of a connection that is opened now.
+    pub fn new() -> Arc<Activity> {
+        let clock = Clock::default();
+        let opened = clock.now();
+        Arc::new(Activity {
+            clock,
+            opened,
+            last_received: AtomicU64::new(opened.0),
+            written_since: AtomicU64::new(0),
+            aborted: AtomicBool::new(false),
+            reader: AtomicWaker::new(),
+            writer: AtomicWaker::new(),
+        })
+    }
+
+    /// Returns the current time on the clock of the timestamps.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Returns the traffic so far.
+    pub fn traffic(&self) -> Traffic {
+        Traffic {
+            last_received: Timestamp(self.last_received.load(Ordering::Relaxed)),
+            written_since: self.written_since.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the time since the last received byte.
+    pub fn silence(&self) -> Duration {
+        self.clock.now().since(self.traffic().last_received)
+    }
+
+    /// Returns the time since the connection was opened.
+    pub fn age(&self) -> Duration {
+        self.clock.now().since(self.opened)
+    }
+
+    /// Makes all reads and writes of the connection fail, so that whoever uses it ends at once.
+    pub fn abort(&self) {
+        self.aborted.store(true, Ordering::Release);
+        self.reader.wake();
+        self.writer.wake();
+    }
+
+    fn on_received(&self) {
+        self.last_received.store(self.clock.now().0, Ordering::Relaxed);
+        self.written_since.store(0, Ordering::Relaxed);
+    }
+
+    /// Registers a waker, and fails if the connection is aborted.
+    fn check(&self, waker: &AtomicWaker, cx: &Context<'_>) -> io::Result<()> {
+        waker.register(cx.waker());
+        match self.aborted.load(Ordering::Acquire) {
+            true => Err(io::Error::new(io::ErrorKind::ConnectionAborted, "the peer is silent")),
+            false => Ok(()),
+        }
+    }
+}
+
+/// A stream whose activity is observed.
+#[derive(Debug)]
+pub struct Observed<S> {
+    stream: S,
+    activity: Arc<Activity>,
+}
+
+impl<S> Observed<S> {
+    /// Observes a stream.
+    pub fn new(stream: S, activity: Arc<Activity>) -> Observed<S> {
+        Observed { stream, activity }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Observed<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.activity.check(&self.activity.reader, cx)?;
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled {
+            self.activity.on_received();
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Observed<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.activity.check(&self.activity.writer, cx)?;
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.activity.written_since.fetch_add(*written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.check(&self.activity.writer, cx)?;
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.check(&self.activity.writer, cx)?;
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/cherrystream-net/src/lib.rs
+++ b/crates/cherrystream-net/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod activity;
 pub mod body;
 pub mod chunks;
 pub mod clock;
@@ -10,9 +11,11 @@
 pub mod interface;
 pub mod key;
 mod late_answers;
+pub mod managed_client;
 pub mod observe;
 pub mod pool;
 pub mod rpc;
 pub mod seeds;
 pub mod serve;
 pub mod stall;
+pub mod tcp;
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -1,8 +1,10 @@
 //! The RPC interface of a control replica, its client, and the check of the shared key.
 
+use crate::activity::{Activity, Observed};
 use crate::body::BoxError;
 use crate::errors::{self, Result};
 use crate::key::{self, Secret};
+use crate::tcp;
 use cherrystream_schema::messages;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use jsonrpsee::core::RpcResult;
@@ -10,14 +12,16 @@
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::server::{HttpBody, HttpRequest, HttpResponse};
 use jsonrpsee::types::ErrorObjectOwned;
-use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
 use messages::{
     Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, DaemonStatus, HostTally, JoinReply,
     JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply, RaftMessage, ReleaseRequest,
     RouteOrderReply, SyncReply, SyncRequest,
 };
 use std::future::Future;
+use std::ops::Deref;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tower::{Layer, Service};
@@ -32,6 +36,11 @@
 const UNAVAILABLE: i32 = -32_002;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval of WebSocket pings. Their replies show that both directions of a connection work.
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without a complete message after which a connection is closed. Far longer than the
+/// transfer of a message, since an incomplete one does not count.
+const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// RPC methods of a control replica.
 #[rpc(client, server, namespace = "cherrystream", namespace_separator = ".")]
@@ -124,27 +133,56 @@
     matches!(e, ClientError::Call(_))
 }
 
-/// Connects to a control replica.
+/// A client of a control replica and the activity of its connection.
+#[derive(Debug)]
+pub struct Client {
+    client: WsClient,
+    activity: Arc<Activity>,
+}
+
+impl Client {
+    /// Returns the activity of the connection.
+    pub fn activity(&self) -> &Arc<Activity> {
+        &self.activity
+    }
+}
+
+impl Deref for Client {
+    type Target = WsClient;
+
+    fn deref(&self) -> &WsClient {
+        &self.client
+    }
+}
+
+/// Connects to a control replica. Calls on the connection fail after `timeout`.
 ///
 /// # Errors
 ///
 /// Fails if the replica is unreachable or rejects the key.
-pub async fn connect(address: &str, key: Option<&Secret>, timeout: Duration) -> Result<WsClient> {
+pub async fn connect(address: &str, key: Option<&Secret>, timeout: Duration) -> Result<Client> {
     let mut headers = HeaderMap::new();
     if let Some(value) = key.and_then(|k| HeaderValue::from_str(&k.bearer()).ok()) {
         headers.insert(header::AUTHORIZATION, value);
     }
-    let connecting = WsClientBuilder::new()
+    let activity = Activity::new();
+    let pings = PingConfig::new().ping_interval(PING_INTERVAL).inactive_limit(INACTIVITY_TIMEOUT);
+    let builder = WsClientBuilder::new()
         .max_request_size(MESSAGE_BYTES)
         .max_response_size(MESSAGE_BYTES)
         .max_concurrent_requests(MAX_CONCURRENT_CALLS)
         .request_timeout(timeout)
         .connection_timeout(CONNECT_TIMEOUT)
-        .set_headers(headers)
-        .build(format!("ws://{address}"));
+        .enable_ws_ping(pings)
+        .set_headers(headers);
+    let connecting = async {
+        let stream = tcp::connect(address).await.map_err(|e| errors::connect(address, e))?;
+        let stream = Observed::new(stream, activity.clone());
+        let client = builder.build_with_stream(format!("ws://{address}"), stream).await;
+        client.map_err(|e| errors::connect(address, e))
+    };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(client)) => Ok(client),
-        Ok(Err(e)) => Err(errors::connect(address, e)),
+        Ok(client) => Ok(Client { client: client?, activity }),
         Err(_) => Err(errors::connect(address, "the connection timed out")),
     }
 }
