--- a/crates/cherrystream/tests/processes/silence.rs
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -1,5 +1,6 @@
 //! Open connections that go silent for good, without a reset, while new ones work.
 
+use super::orders;
 use super::support::client::{self, Ask};
 use super::support::relay::{Relay, Silenced};
 use super::support::site::Site;
@@ -27,6 +28,8 @@
 impl Group {
     async fn start() -> Group {
         let mut site = Site::new(3);
+        // The table of routes is replaced and read by the calls of this interface.
+        site.control_top_lines.push("interface: platform".into());
         let mut relays = BTreeMap::new();
         for from in 1..=3 {
             for to in (1..=3).filter(|to| *to != from) {
@@ -41,11 +44,13 @@
         }
         // Every replica has open connections before they go silent.
         for replica in 1..=3 {
-            wait::until("the replica answers", || async {
-                let answer = client::send(&site.api(replica), &Ask::get("/v1/config")).await?;
-                (answer.status == 200).then_some(())
-            })
-            .await;
+            for ask in [Ask::get("/v1/config"), replace(replica), read_table()] {
+                wait::until("the replica answers", || async {
+                    let answer = client::send(&site.api(replica), &ask).await?;
+                    (answer.status == 200).then_some(())
+                })
+                .await;
+            }
         }
         Group { site, relays }
     }
@@ -76,6 +81,23 @@
     None
 }
 
+fn read_table() -> Ask {
+    Ask::post(orders::READ, "")
+}
+
+/// Returns the call that replaces the table of routes.
+fn replace(number: u64) -> Ask {
+    let route = orders::RouteLine {
+        name: format!("route-{number}"),
+        host: "silence.example".into(),
+        path_prefix: "/".into(),
+        repeatable: true,
+        timeout_s: 5,
+        attempts: 2,
+    };
+    Ask::post(orders::REPLACE, orders::table(number, "quotes", std::iter::once(route)))
+}
+
 fn intent(replica: u64, n: u32) -> Ask {
     let name = format!("added-{replica}-{n}");
     let intent = json!({"intent": "put-service", "service": name, "measuring_per_second": 5});
@@ -96,9 +118,14 @@
     for replica in 1..=3 {
         let api = group.site.api(replica);
         let read = first_answer(api.clone(), patience, |_| Ask::get("/v1/config"));
-        let change = first_answer(api, patience, move |n| intent(replica, n));
+        let change = first_answer(api.clone(), patience, move |n| intent(replica, n));
+        let read_table = first_answer(api.clone(), patience, |_| read_table());
+        let replace =
+            first_answer(api, patience, move |n| replace(10 * u64::from(n + 1) + replica));
         calls.spawn(async move { (replica, "read", read.await) });
         calls.spawn(async move { (replica, "intent", change.await) });
+        calls.spawn(async move { (replica, "read of the table", read_table.await) });
+        calls.spawn(async move { (replica, "replacement of the table", replace.await) });
     }
     for (replica, call, took) in calls.join_all().await {
         if took.is_none_or(|took| took > RECOVERY_TIMEOUT) {
