Silence is measured from the first unanswered byte, and a suspension of this process starts it again

What could be seen: a replica that was itself suspended gave up connections whose answers it had not read yet; a byte that arrived while most of a message was under way ended the allowance for that message; and every connection to a peer (log, calls, long messages) needed a ping each 200 ms, 820 bytes a second with headers, 2.5 KB a second for each pair of replicas.

Cause: silence was the time since the last received byte, so it needed pings at a fraction of the timeout on every connection, and the written bytes were forgotten whenever any byte arrived.

A connection is silent once written bytes are unanswered for the timeout. Written bytes extend it by their transfer time at 50 KB a second, at most 1 s, also after a byte that arrives early. A check that comes late starts the timeout again, once until a byte arrives, so that an overloaded process detects silence too. The log's messages are answered at once: 400 ms without frequent pings (one a second keeps idle ones usable). Calls: a ping each 300 ms, 700 ms.

--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::handle::COMMIT_TIMEOUT;
 use crate::metrics::Metrics;
 use crate::queue::Queue;
+use cherrystream_core::keep_alive;
 use cherrystream_core::transfer::{self, PieceSize, Sending};
 use cherrystream_net::key::Secret;
 use cherrystream_net::managed_client::{
@@ -26,6 +27,15 @@
 /// Delay before the next attempt to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
+/// Detection of silent connections for messages of the log. They are answered at once, so the
+/// timeout needs no ping, and ends together with an interval of heartbeats before a leader misses
+/// its quorum.
+const LOG_KEEP_ALIVE: keep_alive::Options = keep_alive::Options {
+    ping_interval: Duration::from_millis(1_000),
+    timeout: Duration::from_millis(400),
+    ..KEEP_ALIVE
+};
+
 /// Sends messages to the other replicas.
 #[derive(Clone, Default)]
 pub struct Peers {
@@ -48,7 +58,7 @@
         let mut tasks = JoinSet::new();
         for (id, connection) in others {
             let queue = Arc::new(Queue::new(metrics.clone()));
-            tasks.spawn(send_short(connection.clone(), queue.clone()));
+            tasks.spawn(send_short(connection.for_log(), queue.clone()));
             tasks.spawn(send_long(own, connection.for_transfers(), queue.clone()));
             queues.insert(*id, queue);
         }
@@ -93,7 +103,7 @@
     }
 }
 
-async fn send_short(connection: Arc<ReplicaConnection>, queue: Arc<Queue>) {
+async fn send_short(connection: ReplicaConnection, queue: Arc<Queue>) {
     loop {
         let messages = queue.next_short().await;
         let Some(client) = connection.any_client().await else {
@@ -254,6 +264,12 @@
         ReplicaConnection::with(self.address.clone(), opts)
     }
 
+    /// Creates a connection for messages of the log.
+    fn for_log(&self) -> ReplicaConnection {
+        let opts = ManagedClientOptions { keep_alive: Some(LOG_KEEP_ALIVE), ..self.opts.clone() };
+        ReplicaConnection::with(self.address.clone(), opts)
+    }
+
     /// Creates a connection for long messages. Nothing is received while a piece is sent, so the
     /// timeout of its call detects a silent connection.
     fn for_transfers(&self) -> ReplicaConnection {
--- a/crates/cherrystream-net/src/activity.rs
+++ b/crates/cherrystream-net/src/activity.rs
@@ -4,10 +4,11 @@
 use cherrystream_core::keep_alive::Traffic;
 use cherrystream_core::units::Timestamp;
 use futures_util::task::AtomicWaker;
+use parking_lot::Mutex;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -17,9 +18,7 @@
 pub struct Activity {
     clock: Clock,
     opened: Timestamp,
-    /// Time of the last received byte, in microseconds on `clock`.
-    last_received: AtomicU64,
-    written_since: AtomicU64,
+    traffic: Mutex<Traffic>,
     aborted: AtomicBool,
     reader: AtomicWaker,
     writer: AtomicWaker,
@@ -33,8 +32,7 @@
         Arc::new(Activity {
             clock,
             opened,
-            last_received: AtomicU64::new(opened.0),
-            written_since: AtomicU64::new(0),
+            traffic: Mutex::new(Traffic::new(opened)),
             aborted: AtomicBool::new(false),
             reader: AtomicWaker::new(),
             writer: AtomicWaker::new(),
@@ -48,15 +46,12 @@
 
     /// Returns the traffic so far.
     pub fn traffic(&self) -> Traffic {
-        Traffic {
-            last_received: Timestamp(self.last_received.load(Ordering::Relaxed)),
-            written_since: self.written_since.load(Ordering::Relaxed),
-        }
+        *self.traffic.lock()
     }
 
     /// Returns the time since the last received byte.
     pub fn silence(&self) -> Duration {
-        self.clock.now().since(self.traffic().last_received)
+        self.clock.now().since(self.traffic().last_received())
     }
 
     /// Returns the time since the connection was opened.
@@ -72,8 +67,16 @@
     }
 
     fn on_received(&self) {
-        self.last_received.store(self.clock.now().0, Ordering::Relaxed);
-        self.written_since.store(0, Ordering::Relaxed);
+        self.traffic.lock().on_received(self.clock.now());
+    }
+
+    fn on_write(&self, polled: &Poll<io::Result<usize>>) {
+        let now = self.clock.now();
+        match polled {
+            Poll::Ready(Ok(written)) => self.traffic.lock().on_written(now, *written),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.traffic.lock().on_blocked(now),
+        }
     }
 
     /// Registers a waker, and fails if the connection is aborted.
@@ -124,9 +127,7 @@
     ) -> Poll<io::Result<usize>> {
         self.activity.check(&self.activity.writer, cx)?;
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(written)) = &polled {
-            self.activity.written_since.fetch_add(*written as u64, Ordering::Relaxed);
-        }
+        self.activity.on_write(&polled);
         polled
     }
 
--- a/crates/cherrystream-net/src/managed_client.rs
+++ b/crates/cherrystream-net/src/managed_client.rs
@@ -6,8 +6,9 @@
 
 use crate::activity::Activity;
 use crate::key::Secret;
-use crate::rpc::{self, Client};
-use cherrystream_core::keep_alive::{KeepAlive, Options};
+use crate::rpc::{self, Client, ConnectOptions};
+use cherrystream_core::keep_alive::{Action, KeepAlive, Options};
+use cherrystream_core::units::Timestamp;
 use prometheus_client::metrics::counter::Counter;
 use std::future;
 use std::sync::Arc;
@@ -15,11 +16,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Detection of silent connections. A replacement is open before the leader of a group misses its
-/// quorum for one election timeout (1 s).
+/// Detection of silent connections whose calls may take longer than the timeout.
 pub const KEEP_ALIVE: Options = Options {
-    timeout: Duration::from_millis(500),
-    min_throughput: 50_000.0,
+    ping_interval: Duration::from_millis(300),
+    timeout: Duration::from_millis(700),
     max_extension: Duration::from_secs(1),
     retry_interval: Duration::from_millis(500),
 };
@@ -49,7 +49,29 @@
     Unreachable,
     Open(Arc<Client>),
     /// Silent; a new connection could not be opened.
-    Silent(Arc<Client>),
+    Silent {
+        client: Arc<Client>,
+        last_received: Timestamp,
+    },
+}
+
+impl State {
+    /// Returns a client whose connection works as far as known.
+    fn usable(&self) -> Option<&Arc<Client>> {
+        match self {
+            State::Open(client) => Some(client).filter(|client| client.is_connected()),
+            // The peer has resumed.
+            State::Silent { client, last_received } => Some(client).filter(|client| {
+                client.is_connected()
+                    && client.activity().traffic().last_received() > *last_received
+            }),
+            State::Closed | State::Unreachable => None,
+        }
+    }
+
+    fn is_unreachable(&self) -> bool {
+        matches!(self, State::Unreachable | State::Silent { .. })
+    }
 }
 
 /// Settings of a [`ManagedClient`].
@@ -59,7 +81,8 @@
     pub key: Option<Secret>,
     /// Timeout of a call.
     pub call_timeout: Duration,
-    /// Detection of silent connections; `None` if whoever calls detects them.
+    /// Detection of silent connections; `None` if whoever calls detects them. Then no pings are
+    /// sent.
     pub keep_alive: Option<Options>,
     /// Metrics of the connections.
     pub metrics: ConnectionMetrics,
@@ -86,10 +109,14 @@
 
     /// Returns a client to call, or `None` if the peer is unreachable.
     pub async fn client(&self) -> Option<Arc<Client>> {
-        match &*self.state.borrow() {
-            State::Open(client) if client.is_connected() => return Some(client.clone()),
-            State::Silent(_) => return None,
-            _ => {}
+        {
+            let state = self.state.borrow();
+            if let Some(client) = state.usable() {
+                return Some(client.clone());
+            }
+            if matches!(*state, State::Silent { .. }) {
+                return None;
+            }
         }
         self.wait_for_client().await
     }
@@ -97,7 +124,7 @@
     /// Like [`ManagedClient::client`], but returns the connection to an unreachable peer if one is
     /// still open. For messages that may be lost.
     pub async fn any_client(&self) -> Option<Arc<Client>> {
-        if let State::Silent(client) = &*self.state.borrow()
+        if let State::Silent { client, .. } = &*self.state.borrow()
             && client.is_connected()
         {
             return Some(client.clone());
@@ -108,7 +135,7 @@
     /// Returns the age of the open connection.
     pub fn age(&self) -> Option<Duration> {
         match &*self.state.borrow() {
-            State::Open(client) | State::Silent(client) => Some(client.activity().age()),
+            State::Open(client) | State::Silent { client, .. } => Some(client.activity().age()),
             State::Closed | State::Unreachable => None,
         }
     }
@@ -120,16 +147,9 @@
         if was_unreachable {
             return None;
         }
-        let open = state.wait_for(|s| match s {
-            State::Open(client) => client.is_connected(),
-            State::Unreachable | State::Silent(_) => true,
-            State::Closed => false,
-        });
-        match tokio::time::timeout(OPEN_TIMEOUT, open).await {
-            Ok(Ok(s)) => match &*s {
-                State::Open(client) => Some(client.clone()),
-                _ => None,
-            },
+        let decided = state.wait_for(|s| s.usable().is_some() || s.is_unreachable());
+        match tokio::time::timeout(OPEN_TIMEOUT, decided).await {
+            Ok(Ok(s)) => s.usable().cloned(),
             _ => None,
         }
     }
@@ -173,7 +193,12 @@
     async fn connect(&mut self) -> Option<Arc<Client>> {
         let address = self.address.borrow_and_update().clone();
         let opts = &self.opts;
-        match rpc::connect(&address, opts.key.as_ref(), opts.call_timeout).await {
+        let connect_options = ConnectOptions {
+            key: opts.key.as_ref(),
+            call_timeout: opts.call_timeout,
+            ping_interval: opts.keep_alive.map(|keep_alive| keep_alive.ping_interval),
+        };
+        match rpc::connect_with(&address, connect_options).await {
             Ok(client) => {
                 opts.metrics.opened.inc();
                 Some(Arc::new(client))
@@ -201,6 +226,8 @@
                 *self.address.borrow()
             );
             self.opts.metrics.replaced.inc();
+            // Calls that fail because of the abort find the replacement.
+            self.state.send_replace(State::Open(replacement.clone()));
             client.activity().abort();
             client = replacement;
         }
@@ -208,27 +235,35 @@
 
     /// Waits until a connection is silent, and returns a new one that is open. Returns `None` if the
     /// connection has ended or the address has changed.
-    async fn wait_for_silence(&mut self, client: &Client) -> Option<Arc<Client>> {
+    async fn wait_for_silence(&mut self, client: &Arc<Client>) -> Option<Arc<Client>> {
         let Some(opts) = self.opts.keep_alive else {
             self.wait_for_end(client).await;
             return None;
         };
-        let mut keep_alive = KeepAlive::new(opts);
+        let activity = client.activity();
+        let mut keep_alive = KeepAlive::new(activity.now(), opts);
         loop {
-            let activity = client.activity();
-            let traffic = activity.traffic();
             let now = activity.now();
-            self.publish_silence(keep_alive.is_unreachable(now, traffic));
-            if keep_alive.should_replace(now, traffic) {
-                if let Some(replacement) = self.connect().await {
-                    return Some(replacement);
+            let traffic = activity.traffic();
+            let action = keep_alive.check(now, &traffic);
+            self.publish_silence(keep_alive.is_unreachable(now, &traffic));
+            match action {
+                Action::Replace => match self.connect().await {
+                    // A byte that has arrived meanwhile shows that the connection works.
+                    Some(replacement)
+                        if keep_alive.is_silent(activity.now(), &activity.traffic()) =>
+                    {
+                        return Some(replacement);
+                    }
+                    Some(_) => {}
+                    None => keep_alive.on_attempt_failed(activity.now()),
+                },
+                Action::Check(at) => {
+                    let ended = self.wait_for_end(client);
+                    if tokio::time::timeout(at.since(now), ended).await.is_ok() {
+                        return None;
+                    }
                 }
-                keep_alive.on_attempt_failed(activity.now());
-                continue;
-            }
-            let wait = keep_alive.replace_at(traffic).since(now);
-            if tokio::time::timeout(wait, self.wait_for_end(client)).await.is_ok() {
-                return None;
             }
         }
     }
@@ -251,8 +286,11 @@
     fn publish_silence(&self, is_unreachable: bool) {
         self.state.send_if_modified(|state| {
             let next = match state {
-                State::Open(client) if is_unreachable => State::Silent(client.clone()),
-                State::Silent(client) if !is_unreachable => State::Open(client.clone()),
+                State::Open(client) if is_unreachable => State::Silent {
+                    client: client.clone(),
+                    last_received: client.activity().traffic().last_received(),
+                },
+                State::Silent { client, .. } if !is_unreachable => State::Open(client.clone()),
                 _ => return false,
             };
             *state = next;
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -38,9 +38,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval of WebSocket pings. Their replies show that both directions of a connection work.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
-/// Time without a complete message after which a connection is closed. Far longer than the
+/// Shortest time without a complete message after which a connection is closed. Far longer than the
 /// transfer of a message, since an incomplete one does not count.
-const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(20);
+const MIN_INACTIVITY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// RPC methods of a control replica.
 #[rpc(client, server, namespace = "cherrystream", namespace_separator = ".")]
@@ -155,26 +155,35 @@
     }
 }
 
+/// Settings of a connection to a control replica.
+#[derive(Clone, Copy)]
+pub struct ConnectOptions<'a> {
+    /// Key shared by the processes of the system.
+    pub key: Option<&'a Secret>,
+    /// Time after which a call fails.
+    pub call_timeout: Duration,
+    /// Interval of WebSocket pings; `None` for a connection without pings.
+    pub ping_interval: Option<Duration>,
+}
+
 /// Connects to a control replica. Calls on the connection fail after `timeout`.
 ///
 /// # Errors
 ///
 /// Fails if the replica is unreachable or rejects the key.
 pub async fn connect(address: &str, key: Option<&Secret>, timeout: Duration) -> Result<Client> {
-    let mut headers = HeaderMap::new();
-    if let Some(value) = key.and_then(|k| HeaderValue::from_str(&k.bearer()).ok()) {
-        headers.insert(header::AUTHORIZATION, value);
-    }
+    let ping_interval = Some(PING_INTERVAL);
+    connect_with(address, ConnectOptions { key, call_timeout: timeout, ping_interval }).await
+}
+
+/// Connects to a control replica.
+///
+/// # Errors
+///
+/// Fails if the replica is unreachable or rejects the key.
+pub async fn connect_with(address: &str, opts: ConnectOptions<'_>) -> Result<Client> {
     let activity = Activity::new();
-    let pings = PingConfig::new().ping_interval(PING_INTERVAL).inactive_limit(INACTIVITY_TIMEOUT);
-    let builder = WsClientBuilder::new()
-        .max_request_size(MESSAGE_BYTES)
-        .max_response_size(MESSAGE_BYTES)
-        .max_concurrent_requests(MAX_CONCURRENT_CALLS)
-        .request_timeout(timeout)
-        .connection_timeout(CONNECT_TIMEOUT)
-        .enable_ws_ping(pings)
-        .set_headers(headers);
+    let builder = client_builder(opts);
     let connecting = async {
         let stream = tcp::connect(address).await.map_err(|e| errors::connect(address, e))?;
         let stream = Observed::new(stream, activity.clone());
@@ -187,6 +196,25 @@
     }
 }
 
+fn client_builder(opts: ConnectOptions<'_>) -> WsClientBuilder {
+    let mut headers = HeaderMap::new();
+    if let Some(value) = opts.key.and_then(|k| HeaderValue::from_str(&k.bearer()).ok()) {
+        headers.insert(header::AUTHORIZATION, value);
+    }
+    let builder = WsClientBuilder::new()
+        .max_request_size(MESSAGE_BYTES)
+        .max_response_size(MESSAGE_BYTES)
+        .max_concurrent_requests(MAX_CONCURRENT_CALLS)
+        .request_timeout(opts.call_timeout)
+        .connection_timeout(CONNECT_TIMEOUT)
+        .set_headers(headers);
+    let Some(ping_interval) = opts.ping_interval else { return builder };
+    // Pings and their replies wait behind a message that is being transferred.
+    let inactivity_timeout = MIN_INACTIVITY_TIMEOUT.max(opts.call_timeout);
+    let pings = PingConfig::new().ping_interval(ping_interval).inactive_limit(inactivity_timeout);
+    builder.enable_ws_ping(pings)
+}
+
 /// Middleware that rejects requests without the shared key.
 #[derive(Clone)]
 pub struct KeyLayer {
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -18,7 +18,10 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::MetadataExt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 
@@ -36,6 +39,13 @@
 const LARGE_CALL_BYTES: usize = 256 * 1024;
 /// Largest size in bytes of a call on a connection with keep-alive.
 const KEPT_CALL_BYTES: usize = 50_000;
+/// Time for which the traffic of an idle connection is counted.
+const IDLE_TIME: Duration = Duration::from_secs(6);
+/// Headers of a packet and of half an acknowledgement in bytes: pings are acknowledged by their
+/// replies.
+const PACKET_OVERHEAD_BYTES: u64 = 52 + 26;
+/// Highest rate of an idle connection in bytes per second: a hundredth of the thinnest link.
+const MAX_IDLE_RATE: u64 = 850;
 /// Size of a large route table in bytes.
 const TABLE_BYTES: usize = 800_000;
 
@@ -254,6 +264,54 @@
     (address, stuck)
 }
 
+/// Counts what passes a relay in both directions.
+#[derive(Default)]
+struct Passed {
+    packets: AtomicU64,
+    bytes: AtomicU64,
+}
+
+async fn count(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, passed: Arc<Passed>) {
+    let mut buf = [0; 4096];
+    while let Ok(n @ 1..) = from.read(&mut buf).await {
+        passed.packets.fetch_add(1, Ordering::Relaxed);
+        passed.bytes.fetch_add(n as u64, Ordering::Relaxed);
+        to.write_all(&buf[..n]).await.unwrap();
+    }
+}
+
+async fn start_counting_relay(to: String) -> (String, Arc<Passed>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let passed = Arc::<Passed>::default();
+    let counted = passed.clone();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = TcpStream::connect(&to).await.unwrap().into_split();
+            tokio::spawn(count(near_read, far_write, counted.clone()));
+            tokio::spawn(count(far_read, near_write, counted.clone()));
+        }
+    });
+    (address, passed)
+}
+
+/// Guards against pings that load thin links: a group of nine replicas has 72 pairs.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_sends_few_bytes() {
+    let (address, passed) = start_counting_relay(start_server().await).await;
+    let caller = Caller::new(&address);
+    assert!(caller.short_call().await);
+    let counts = || (passed.packets.load(Ordering::Relaxed), passed.bytes.load(Ordering::Relaxed));
+    let before = counts();
+    tokio::time::sleep(IDLE_TIME).await;
+    let after = counts();
+    let (packets, bytes) = (after.0 - before.0, after.1 - before.1);
+    let per_second = (bytes + packets * PACKET_OVERHEAD_BYTES) / IDLE_TIME.as_secs();
+    println!("{packets} packets, {bytes} bytes, {per_second} bytes a second with headers");
+    assert!(per_second < MAX_IDLE_RATE);
+}
+
 /// Returns the number of sockets of this process that are connected to an address.
 fn sockets_to(address: &str) -> usize {
     let address: SocketAddr = address.parse().unwrap();
