Calls whose connection is replaced are sent again on the new one

A forwarded route table waited for its own timeout, 5 s and more, since its connection had no detection.

Cause: the replacement ends the calls on the old connection, and nobody sent them again; a caller could not tell the replaced connection from the new one, because the old one was published until after it was aborted.

ReplicaConnection::call sends a call again, once, if its connection was replaced: reads, operator calls (by key, or they only create plans; confirmations are idempotent), changes of the registrar (each puts a value), join requests, counts of roll-outs, daemons seen, and route tables (by number). Connections of route tables have keep-alive with an extension that covers their size.

--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -3,7 +3,7 @@
 use crate::call_trace::{CallKind, CallTrace, CallTraces, Step};
 use crate::daemon_registry::{self, DaemonRegistry};
 use crate::handle::{Handle, NoResult};
-use crate::peers::ReplicaConnection;
+use crate::peers::{CallError, ReplicaConnection};
 use cherrystream_core::errors::Error;
 use cherrystream_core::plan;
 use cherrystream_core::rollout;
@@ -15,6 +15,7 @@
 use cherrystream_net::interface::CommandOutcome;
 use cherrystream_net::rpc::{Client, ControlRpcClient};
 use cherrystream_schema::messages;
+use jsonrpsee::core::client::Error as ClientError;
 use messages::{
     Command, ConfigReply, ConfirmReply, DaemonStatus, ErrorReply, Intent, OperatorAnswer,
     OperatorCall, Plan, PlanReply, ReplicaStatus, Shared, StatusReply,
@@ -60,17 +61,19 @@
         }
         let mut trace = self.traces.start(CallKind::Operator);
         trace.reach(Step::Leader);
-        let client = match status.leader {
-            Some(leader) => self.client_of(leader, &mut trace).await,
-            None => None,
-        };
-        let Some(client) = client else {
-            trace.finish(false);
-            return no_leader();
+        // All operator calls are idempotent: intents have a key or only create plans.
+        let answer = match status.leader {
+            Some(leader) => {
+                let forward = |client: Arc<Client>| {
+                    let call = call.clone();
+                    async move { client.operator(call).await }
+                };
+                self.call_leader(leader, &mut trace, forward).await
+            }
+            None => Err(NoResult::NotLeader { leader: None }),
         };
-        let answer = client.operator(call).await;
         trace.finish(answer.is_ok());
-        answer.unwrap_or_else(|_| unknown_outcome())
+        answer.unwrap_or_else(no_result)
     }
 
     /// Handles a call on this replica.
@@ -143,21 +146,35 @@
                 return Err(e);
             }
         };
-        let client = self.client_of(leader, trace).await.ok_or(NoResult::Unknown)?;
-        let index = client.read_index().await.map_err(|_| NoResult::Unknown)?;
+        let read = |client: Arc<Client>| async move { client.read_index().await };
+        let index = self.call_leader(leader, trace, read).await?;
         trace.reach(Step::Apply);
         self.handle.applied(index).await
     }
 
-    /// Returns the client of a leader.
-    async fn client_of(&self, leader: u64, trace: &mut CallTrace<'_>) -> Option<Arc<Client>> {
+    /// Sends an idempotent call to the leader. Fails at once if it is known to be unreachable.
+    async fn call_leader<T, F>(
+        &self,
+        leader: u64,
+        trace: &mut CallTrace<'_>,
+        call: impl Fn(Arc<Client>) -> F,
+    ) -> Result<T, NoResult>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
         trace.set_leader(leader);
         trace.reach(Step::Connect);
-        let connection = self.connections.get(&leader)?;
-        let client = connection.client().await?;
-        trace.set_connection_age(connection.age());
-        trace.reach(Step::Answer);
-        Some(client)
+        let unreachable = NoResult::NotLeader { leader: Some(leader) };
+        let connection = self.connections.get(&leader).ok_or(unreachable)?;
+        let traced = |client: Arc<Client>| {
+            trace.set_connection_age(Some(client.activity().age()));
+            trace.reach(Step::Answer);
+            call(client)
+        };
+        connection.call(traced).await.map_err(|e| match e {
+            CallError::Unreachable { .. } => unreachable,
+            CallError::Failed { .. } => NoResult::Unknown,
+        })
     }
 
     async fn intent(&self, call: &OperatorCall) -> OperatorAnswer {
@@ -361,9 +378,9 @@
 
 /// Queries another replica for the daemons that it has seen.
 async fn daemons_seen_by(connection: Arc<ReplicaConnection>) -> Vec<DaemonStatus> {
-    let query = async { connection.client().await?.reach().await.ok() };
+    let query = connection.call(|client| async move { client.reach().await });
     match tokio::time::timeout(DAEMONS_QUERY_TIMEOUT, query).await {
-        Ok(Some(statuses)) => statuses,
+        Ok(Ok(statuses)) => statuses,
         _ => {
             log::debug!("control: replica at {} did not return its daemons", connection.address());
             Vec::new()
--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::handle::COMMIT_TIMEOUT;
 use crate::metrics::Metrics;
 use crate::queue::Queue;
-use cherrystream_core::keep_alive;
+use cherrystream_core::keep_alive::{self, MIN_THROUGHPUT};
 use cherrystream_core::transfer::{self, PieceSize, Sending};
 use cherrystream_net::key::Secret;
 use cherrystream_net::managed_client::{
@@ -12,6 +12,7 @@
 use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{PieceReply, RaftMessage};
 use jsonrpsee::core::client::Error as ClientError;
+use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,9 +22,6 @@
 /// Timeout of a call with short messages or with one piece of a long message. The size of such a
 /// call is bounded.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Lowest throughput in bytes per second that the timeout of a large call allows for. A seventh of
-/// the thinnest links to allow for (340 KB a second), which carry other traffic too.
-const MIN_THROUGHPUT: f64 = 50_000.0;
 /// Delay before the next attempt to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
@@ -216,12 +214,21 @@
     }
 }
 
-/// Returns the timeout of a call with a payload of `bytes`.
-fn timeout_for(bytes: usize) -> Duration {
-    match bytes {
-        0 => CALL_TIMEOUT,
-        _ => COMMIT_TIMEOUT + Duration::from_secs_f64(bytes as f64 / MIN_THROUGHPUT),
-    }
+/// Error of a call to a replica.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// The replica is unreachable; it has not received the call.
+    #[snafu(display("the replica at {address} is unreachable"))]
+    Unreachable {
+        /// RPC address of the replica.
+        address: String,
+    },
+    /// The call failed.
+    #[snafu(transparent)]
+    Failed {
+        /// Why it failed.
+        source: ClientError,
+    },
 }
 
 /// A connection to a replica that is kept open between calls.
@@ -253,12 +260,14 @@
         ReplicaConnection::with(self.address.clone(), self.opts.clone())
     }
 
-    /// Creates a connection like [`ReplicaConnection::sibling`] whose timeout covers the transfer
+    /// Creates a connection like [`ReplicaConnection::sibling`] whose timeouts cover the transfer
     /// of `bytes` and the commit on the leader.
     pub fn for_bytes(&self, bytes: usize) -> ReplicaConnection {
+        let transfer = Duration::from_secs_f64(bytes as f64 / MIN_THROUGHPUT);
+        let max_extension = KEEP_ALIVE.max_extension.max(transfer);
         let opts = ManagedClientOptions {
-            call_timeout: timeout_for(bytes),
-            keep_alive: None,
+            call_timeout: COMMIT_TIMEOUT + transfer,
+            keep_alive: Some(keep_alive::Options { max_extension, ..KEEP_ALIVE }),
             ..self.opts.clone()
         };
         ReplicaConnection::with(self.address.clone(), opts)
@@ -293,6 +302,30 @@
         })
     }
 
+    /// Calls the replica. Sends a call whose connection is replaced again on the new one, so it must
+    /// be idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replica is unreachable or does not answer, or with its error.
+    pub async fn call<T, F>(&self, mut call: impl FnMut(Arc<Client>) -> F) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        let unreachable = || CallError::Unreachable { address: self.address() };
+        let client = self.client().await.ok_or_else(unreachable)?;
+        let e = match call(client.clone()).await {
+            Err(e) if !rpc::is_answer(&e) => e,
+            answer => return Ok(answer?),
+        };
+        match self.client().await {
+            Some(replacement) if !Arc::ptr_eq(&client, &replacement) => {
+                Ok(call(replacement).await?)
+            }
+            _ => Err(e.into()),
+        }
+    }
+
     /// Returns a client to call, or `None` if the replica is unreachable.
     pub async fn client(&self) -> Option<Arc<Client>> {
         self.client.client().await
@@ -303,9 +336,4 @@
     pub async fn any_client(&self) -> Option<Arc<Client>> {
         self.client.any_client().await
     }
-
-    /// Returns the age of the open connection.
-    pub fn age(&self) -> Option<Duration> {
-        self.client.age()
-    }
 }
--- a/crates/cherrystream-control/src/registrar.rs
+++ b/crates/cherrystream-control/src/registrar.rs
@@ -4,8 +4,8 @@
 use crate::handle::{Handle, NoResult};
 use crate::metrics::Metrics;
 use crate::operators::Operators;
-use crate::peers::ReplicaConnection;
-use cherrystream_net::rpc::{self, ControlRpcClient};
+use crate::peers::{CallError, ReplicaConnection};
+use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{Change, Command};
 use jsonrpsee::types::ErrorObjectOwned;
 use std::collections::BTreeMap;
@@ -102,8 +102,15 @@
             Ok(_) => Ok(()),
             Err(NoResult::NotLeader { leader: Some(leader) }) => {
                 let connection = self.connections.get(&leader).ok_or_else(|| self.not_leader())?;
-                let client = connection.client().await.ok_or_else(|| self.not_leader())?;
-                client.share(changes).await.map_err(|e| rpc::unavailable(&e.to_string()))
+                // Each change puts a value, so it may be applied twice.
+                let share = |client: Arc<Client>| {
+                    let changes = changes.clone();
+                    async move { client.share(changes).await }
+                };
+                connection.call(share).await.map_err(|e| match e {
+                    CallError::Unreachable { .. } => self.not_leader(),
+                    CallError::Failed { source } => rpc::unavailable(&source.to_string()),
+                })
             }
             Err(NoResult::NotLeader { leader: None }) => Err(self.not_leader()),
             Err(e @ NoResult::Unknown) => {
--- a/crates/cherrystream-control/src/rollouts.rs
+++ b/crates/cherrystream-control/src/rollouts.rs
@@ -96,11 +96,11 @@
         self.on_counts(&cx.handle, &tallies);
         let Some(leader) = status.leader.filter(|_| !status.leads) else { return };
         let Some(connection) = cx.connections.get(&leader) else { return };
-        let forwarding = async {
-            let client = connection.client().await?;
-            client.tally(tallies).await.ok()
-        };
-        if !matches!(tokio::time::timeout(FORWARD_TIMEOUT, forwarding).await, Ok(Some(()))) {
+        let forwarding = connection.call(|client| {
+            let tallies = tallies.clone();
+            async move { client.tally(tallies).await }
+        });
+        if !matches!(tokio::time::timeout(FORWARD_TIMEOUT, forwarding).await, Ok(Ok(()))) {
             log::debug!(
                 "control: the leader, replica {leader}, did not accept the counts of a roll-out"
             );
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -7,7 +7,7 @@
 use crate::incoming_transfers::IncomingTransfers;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
-use crate::peers::ReplicaConnection;
+use crate::peers::{CallError, ReplicaConnection};
 use crate::registrar::Registrar;
 use crate::rollouts::Rollouts;
 use cherrystream_core::instances;
@@ -18,7 +18,9 @@
 use cherrystream_core::units::Revision;
 use cherrystream_net::clock;
 use cherrystream_net::key::Secret;
-use cherrystream_net::rpc::{self, ControlRpcClient, ControlRpcServer, KeyLayer, MESSAGE_BYTES};
+use cherrystream_net::rpc::{
+    self, Client, ControlRpcClient, ControlRpcServer, KeyLayer, MESSAGE_BYTES,
+};
 use cherrystream_schema::messages;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
@@ -333,8 +335,14 @@
             Err(NoResult::NotLeader { leader: Some(leader) }) => {
                 let connection =
                     self.connections.get(&leader).ok_or_else(|| self.not_leader(None))?;
-                let client = connection.client().await.ok_or_else(|| self.not_leader(None))?;
-                return client.join(req).await.map_err(|e| rpc::unavailable(&e.to_string()));
+                let join = |client: Arc<Client>| {
+                    let req = req.clone();
+                    async move { client.join(req).await }
+                };
+                return connection.call(join).await.map_err(|e| match e {
+                    CallError::Unreachable { .. } => self.not_leader(None),
+                    CallError::Failed { source } => rpc::unavailable(&source.to_string()),
+                });
             }
             Err(e) => return Err(self.no_result(e)),
         };
--- a/crates/cherrystream-control/src/tables.rs
+++ b/crates/cherrystream-control/src/tables.rs
@@ -6,8 +6,9 @@
 use cherrystream_core::routes;
 use cherrystream_core::state::Applied;
 use cherrystream_net::interface::CommandOutcome;
-use cherrystream_net::rpc::ControlRpcClient;
+use cherrystream_net::rpc::{Client, ControlRpcClient};
 use cherrystream_schema::messages::{Command, RouteOrder, RouteOrderReply};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Attempts to send a table as a patch before it is sent as a whole. A patch fails if another table
@@ -68,15 +69,21 @@
             Err(NoResult::Unknown) => return None,
         };
         let connection = self.connections.get(&leader)?;
-        // The timeout grows with the size of the call.
+        // The commands have the number of their table, so they are idempotent.
         let reply = match command {
             Command::PatchRoutes { base, number, packed } => {
-                let client = connection.for_bytes(packed.len()).client().await?;
-                client.patch_routes(base, number, packed).await
+                let patch = |client: Arc<Client>| {
+                    let packed = packed.clone();
+                    async move { client.patch_routes(base, number, packed).await }
+                };
+                connection.for_bytes(packed.len()).call(patch).await
             }
             Command::ReplaceRoutes { packed, number } => {
-                let client = connection.for_bytes(packed.len()).client().await?;
-                client.replace_routes(number, packed).await
+                let replace = |client: Arc<Client>| {
+                    let packed = packed.clone();
+                    async move { client.replace_routes(number, packed).await }
+                };
+                connection.for_bytes(packed.len()).call(replace).await
             }
             _ => return None,
         };
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -188,9 +188,10 @@
 /// Guards against replacing connections over a thin link that are merely behind a large call.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_calls_over_a_thin_link_are_answered() {
-    for (keep_alive, bytes) in [(Some(KEEP_ALIVE), KEPT_CALL_BYTES), (None, LARGE_CALL_BYTES)] {
+    let extended = Options { max_extension: Duration::from_secs(6), ..KEEP_ALIVE };
+    for (keep_alive, bytes) in [(KEEP_ALIVE, KEPT_CALL_BYTES), (extended, LARGE_CALL_BYTES)] {
         let relay = Relay::start("127.0.0.1:0", &start_server().await).await;
-        let caller = Caller::with(&relay.address, keep_alive);
+        let caller = Caller::with(&relay.address, Some(keep_alive));
         assert!(caller.short_call().await);
         relay.set(THIN);
         for _ in 0..3 {
--- a/crates/cherrystream/tests/processes/silence.rs
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -1,7 +1,7 @@
 //! Open connections that go silent for good, without a reset, while new ones work.
 
 use super::support::client::{self, Ask};
-use super::support::relay::{Relay, Silenced};
+use super::support::relay::{Mode, Relay, Silenced};
 use super::support::site::Site;
 use super::support::wait;
 use serde_json::json;
@@ -12,6 +12,10 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a replica is no longer asked.
 const GIVE_UP: Duration = Duration::from_secs(8);
+/// Silences of all connections in one run.
+const ROUNDS: usize = 3;
+/// Longest time until a status with an unreachable replica is answered.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two calls of one operator.
 const CALL_PAUSE: Duration = Duration::from_millis(20);
 /// Times after which operators give up a call.
@@ -134,3 +138,83 @@
 async fn replicas_answer_after_all_connections_between_them_go_silent() {
     check(|_, _, _| true).await;
 }
+
+/// Sends one read and one intent to every replica; returns those that fail.
+async fn failures(group: &Group) -> Vec<String> {
+    let mut calls = tokio::task::JoinSet::new();
+    for replica in 1..=3 {
+        for (call, ask) in [("read", Ask::get("/v1/config")), ("intent", intent(replica, 0))] {
+            let api = group.site.api(replica);
+            calls.spawn(async move {
+                let start = Instant::now();
+                let answer = tokio::time::timeout(GIVE_UP, client::send(&api, &ask)).await;
+                let status = answer.ok().flatten().map(|answer| answer.status);
+                (format!("{call} at replica {replica}"), status, start.elapsed())
+            });
+        }
+    }
+    let answers = calls.join_all().await.into_iter();
+    let failed = answers.filter(|(_, status, took)| {
+        !status.is_some_and(|status| status.is_success()) || *took > RECOVERY_TIMEOUT
+    });
+    failed.map(|(call, status, took)| format!("{call}: {status:?} after {took:?}")).collect()
+}
+
+/// Guards against calls that fail because their connection is replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_are_sent_on_silent_connections_succeed() {
+    for silenced in [Silenced::Both, Silenced::There, Silenced::Back] {
+        let group = Group::start().await;
+        let leader = group.site.leader().await;
+        group.silence(silenced, |from, to| from != leader && to == leader);
+        assert_eq!(failures(&group).await, Vec::<String>::new(), "{silenced:?}");
+    }
+}
+
+async fn term(group: &Group) -> u64 {
+    wait::until("the status is known", || async {
+        group.site.status().await.map(|status| status.term)
+    })
+    .await
+}
+
+/// Silences all connections between replicas again and again; returns the number of elections.
+async fn elections(silenced: Silenced) -> u64 {
+    let group = Group::start().await;
+    let before = term(&group).await;
+    for _ in 0..ROUNDS {
+        group.silence(silenced, |_, _| true);
+        tokio::time::sleep(RECOVERY_TIMEOUT).await;
+    }
+    term(&group).await - before
+}
+
+/// Guards against a leader that loses its quorum before its connections are replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn silence_between_replicas_causes_no_election() {
+    let elections = tokio::join!(
+        elections(Silenced::Both),
+        elections(Silenced::There),
+        elections(Silenced::Back),
+    );
+    assert_eq!(elections, (0, 0, 0), "elections after silence in both, there, back");
+}
+
+/// Guards against a replica that answers nothing and delays every status by the timeout of its
+/// query.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_without_answers_does_not_delay_every_status() {
+    let group = Group::start().await;
+    let leader = group.site.leader().await;
+    let api = group.site.api(leader);
+    let dark = (1..=3).find(|replica| *replica != leader).unwrap();
+    let relays = group.relays.iter().filter(|((from, to), _)| *from == dark || *to == dark);
+    relays.for_each(|(_, relay)| relay.set(Mode::Hold));
+    tokio::time::sleep(RECOVERY_TIMEOUT).await;
+    for _ in 0..5 {
+        let start = Instant::now();
+        let answer = client::send(&api, &Ask::get("/v1/status")).await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(start.elapsed() < STATUS_TIMEOUT, "{:?}", start.elapsed());
+    }
+}
