A large intent at a follower reaches the leader over a thin link

What callers saw: an intent of 250 KB, which is accepted at the leader, got 503 at a follower whose link to the leader carries 85 KB a second: its transfer takes 3 s, and forwarded calls fail after 1.5 s.

A forwarded call with more than 25 KB uses a connection of its own, whose timeouts cover its transfer, as route tables do. Short calls do not wait behind it.

Evidence: a_large_intent_reaches_the_leader_over_a_thin_link failed before (503) and passes.

--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -64,11 +64,12 @@
         // All operator calls are idempotent: intents have a key or only create plans.
         let answer = match status.leader {
             Some(leader) => {
+                let bytes = call.body.len();
                 let forward = |client: Arc<Client>| {
                     let call = call.clone();
                     async move { client.operator(call).await }
                 };
-                self.call_leader(leader, &mut trace, forward).await
+                self.call_leader(leader, &mut trace, bytes, forward).await
             }
             None => Err(NoResult::NotLeader { leader: None }),
         };
@@ -147,16 +148,18 @@
             }
         };
         let read = |client: Arc<Client>| async move { client.read_index().await };
-        let index = self.call_leader(leader, trace, read).await?;
+        let index = self.call_leader(leader, trace, 0, read).await?;
         trace.reach(Step::Apply);
         self.handle.applied(index).await
     }
 
-    /// Sends an idempotent call to the leader. Fails at once if it is known to be unreachable.
+    /// Sends an idempotent call with a payload of `bytes` to the leader. Fails at once if it is known
+    /// to be unreachable.
     async fn call_leader<T, F>(
         &self,
         leader: u64,
         trace: &mut CallTrace<'_>,
+        bytes: usize,
         call: impl Fn(Arc<Client>) -> F,
     ) -> Result<T, NoResult>
     where
@@ -171,7 +174,7 @@
             trace.reach(Step::Answer);
             call(client)
         };
-        connection.call(traced).await.map_err(|e| match e {
+        connection.call_with_bytes(bytes, traced).await.map_err(|e| match e {
             CallError::Unreachable { .. } => unreachable,
             CallError::Failed { .. } => NoResult::Unknown,
         })
--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -22,6 +22,9 @@
 /// Timeout of a call with short messages or with one piece of a long message. The size of such a
 /// call is bounded.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest payload in bytes of a call on a connection that short calls share. At the lowest
+/// throughput, its transfer takes a third of `CALL_TIMEOUT`.
+const MAX_SHARED_CALL_BYTES: usize = 25_000;
 /// Delay before the next attempt to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
@@ -326,6 +329,26 @@
         }
     }
 
+    /// Like [`ReplicaConnection::call`], for calls with a payload of `bytes`. A large one uses a
+    /// connection of its own, so that short calls do not wait for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replica is unreachable or does not answer, or with its error.
+    pub async fn call_with_bytes<T, F>(
+        &self,
+        bytes: usize,
+        call: impl FnMut(Arc<Client>) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        match bytes {
+            0..=MAX_SHARED_CALL_BYTES => self.call(call).await,
+            _ => self.for_bytes(bytes).call(call).await,
+        }
+    }
+
     /// Returns a client to call, or `None` if the replica is unreachable.
     pub async fn client(&self) -> Option<Arc<Client>> {
         self.client.client().await
--- a/crates/cherrystream/tests/processes/silence.rs
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -12,6 +12,10 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a replica is no longer asked.
 const GIVE_UP: Duration = Duration::from_secs(8);
+/// A link of 85 KB a second.
+const THIN: Mode = Mode::Rate(85_000);
+/// Size of a large intent in bytes, below the largest that is accepted.
+const INTENT_BYTES: usize = 250_000;
 /// Silences of all connections in one run.
 const ROUNDS: usize = 3;
 /// Longest time until a status with an unreachable replica is answered.
@@ -218,3 +222,19 @@
         assert!(start.elapsed() < STATUS_TIMEOUT, "{:?}", start.elapsed());
     }
 }
+
+/// Guards against large operator calls that time out on their way to the leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_intent_reaches_the_leader_over_a_thin_link() {
+    let group = Group::start().await;
+    let leader = group.site.leader().await;
+    let follower = (1..=3).find(|replica| *replica != leader).unwrap();
+    group.relays[&(follower, leader)].set(THIN);
+    let intent = json!({"intent": "put-service", "service": "added", "measuring_per_second": 5});
+    let padded = format!("{intent}{}", " ".repeat(INTENT_BYTES));
+    let ask = Ask::post("/v1/intents", padded);
+    let answer = client::send(&group.site.api(follower), &ask).await.unwrap();
+    assert_eq!(answer.status, 201, "{answer:?}");
+    let short = Ask::get("/v1/config");
+    assert_eq!(client::send(&group.site.api(follower), &short).await.unwrap().status, 200);
+}
