A batched call without an answer no longer holds up all later ones

What callers saw: the reads and registrations of all daemons of a replica share one call at a time; one call without an answer held up everything behind it for its timeout, 1.5 to 5 s.

Cause: CallBatcher awaited each call before it formed the next batch.

The next batch is sent when the call in flight ends, or after 500 ms, with at most four calls in flight. Registrations of the same host may now arrive out of order; each heartbeat compares what is registered and registers again.

Evidence: a_hung_call_does_not_hold_up_later_items and the_number_of_hung_calls_is_bounded failed before (no answer within 1 s; one call of four) and pass.

--- a/crates/cherrystream-control/src/call_batcher.rs
+++ b/crates/cherrystream-control/src/call_batcher.rs
@@ -1,18 +1,26 @@
-//! Batches concurrent calls: those that arrive while one is in flight form the next call.
+//! Batches concurrent calls: those that arrive while one is in flight form the next call. A call that
+//! takes long does not hold up the next one.
 //!
 //! Many daemons may register at once, for example after a power failure. Without batches, each
 //! would cost the leader two calls and a log entry.
 
 use std::future::Future;
-use tokio::sync::{mpsc, oneshot};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task;
 
 /// Largest number of items in one call. Bounds the size of a message.
 const MAX_BATCH_ITEMS: usize = 256;
+/// Time after which a call in flight no longer holds up the next batch. Its connection may be
+/// silent.
+const MAX_HOLD_UP: Duration = Duration::from_millis(500);
+/// Maximum number of calls in flight.
+const MAX_CALLS: usize = 4;
 
 type Pending<T, R> = (T, oneshot::Sender<R>);
 
-/// Sends items in batches, with one call in flight at a time.
+/// Sends items in batches, with one call in flight at a time unless it takes long.
 pub struct CallBatcher<T, R> {
     tx: mpsc::UnboundedSender<Pending<T, R>>,
 }
@@ -47,21 +55,31 @@
     }
 }
 
-async fn run<T, R: Clone, F: Future<Output = R>>(
-    mut rx: mpsc::UnboundedReceiver<Pending<T, R>>,
-    work: impl Fn(Vec<T>) -> F,
-) {
+async fn run<T, R, F>(mut rx: mpsc::UnboundedReceiver<Pending<T, R>>, work: impl Fn(Vec<T>) -> F)
+where
+    R: Clone + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+{
+    let slots = Arc::new(Semaphore::new(MAX_CALLS));
     let mut pending = Vec::new();
-    while rx.recv_many(&mut pending, MAX_BATCH_ITEMS).await > 0 {
+    // Items that arrive while all slots are taken form one batch.
+    while let Ok(slot) = slots.clone().acquire_owned().await
+        && rx.recv_many(&mut pending, MAX_BATCH_ITEMS).await > 0
+    {
         // Discards the items of cancelled calls.
         pending.retain(|(_, reply)| !reply.is_closed());
         let (items, replies): (Vec<T>, Vec<_>) = pending.drain(..).unzip();
         if items.is_empty() {
             continue;
         }
-        let result = work(items).await;
-        for reply in replies {
-            let _ = reply.send(result.clone());
-        }
+        let call = work(items);
+        let call = task::spawn(async move {
+            let result = call.await;
+            for reply in replies {
+                let _ = reply.send(result.clone());
+            }
+            drop(slot);
+        });
+        let _ = tokio::time::timeout(MAX_HOLD_UP, call).await;
     }
 }
--- a/crates/cherrystream-control/tests/call_batcher.rs
+++ b/crates/cherrystream-control/tests/call_batcher.rs
@@ -1,6 +1,7 @@
 //! Batching of concurrent calls.
 
 use cherrystream_control::call_batcher::CallBatcher;
+use std::future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -72,3 +73,43 @@
     first.await.unwrap();
     assert_eq!(most.load(Ordering::Relaxed), 1);
 }
+
+/// Starts a batcher whose calls with the item 0 do not end. Returns the number of calls too.
+fn start_with_hung_calls() -> (CallBatcher<u32, ()>, Arc<AtomicUsize>) {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = calls.clone();
+    let batcher = CallBatcher::start(move |items: Vec<u32>| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        async move {
+            if items.contains(&0) {
+                future::pending::<()>().await;
+            }
+        }
+    });
+    (batcher, calls)
+}
+
+/// Guards against a call without an answer that holds up all later items for its timeout.
+#[tokio::test]
+async fn a_hung_call_does_not_hold_up_later_items() {
+    let (batcher, _calls) = start_with_hung_calls();
+    let hung = batcher.clone();
+    tokio::spawn(async move { hung.call(0).await });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    for item in 1..=5 {
+        let answered = tokio::time::timeout(Duration::from_secs(1), batcher.call(item)).await;
+        assert_eq!(answered, Ok(Some(())), "item {item}");
+    }
+}
+
+/// Guards against hung calls that accumulate.
+#[tokio::test]
+async fn the_number_of_hung_calls_is_bounded() {
+    let (batcher, calls) = start_with_hung_calls();
+    for _ in 0..30 {
+        let hung = batcher.clone();
+        tokio::spawn(async move { hung.call(0).await });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(calls.load(Ordering::Relaxed), 4);
+}
