--- a/crates/cherrystream/tests/processes/transfers.rs
+++ b/crates/cherrystream/tests/processes/transfers.rs
@@ -1,7 +1,7 @@
 //! Long messages between control replicas arrive over slow links and broken connections, without an
 //! election meanwhile.
 
-use super::support::relay::{Mode, Relay};
+use super::support::relay::{Mode, Relay, Silenced};
 use super::support::site::Site;
 use super::support::wait;
 use cherrystream_core::routes;
@@ -31,6 +31,8 @@
 const TIME_BETWEEN_CUTS: Duration = Duration::from_millis(1_000);
 /// Duration of an interruption.
 const CUT_DURATION: Duration = Duration::from_millis(200);
+/// Time between two silences of the connections over a link.
+const TIME_BETWEEN_SILENCES: Duration = Duration::from_millis(3_000);
 /// Time limit of calls, longer than any call here takes.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -99,6 +101,18 @@
             self.set(replica, SLOW);
         }
     }
+
+    /// Silences the open connections of a replica repeatedly.
+    async fn silence_links(&self, replica: u64) {
+        let own = |(from, to): &(u64, u64)| *from == replica || *to == replica;
+        for silenced in [Silenced::Both, Silenced::There, Silenced::Back].into_iter().cycle() {
+            tokio::time::sleep(TIME_BETWEEN_SILENCES).await;
+            self.relays
+                .iter()
+                .filter(|(line, _)| own(line))
+                .for_each(|(_, relay)| relay.silence(silenced));
+        }
+    }
 }
 
 /// Claims keys at the leader until the state has a size of a few MB.
@@ -206,6 +220,27 @@
     println!("a blank replica votes after {:?}", start.elapsed());
 }
 
+/// Guards against a transfer that waits for good for the answer to a piece.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_state_arrives_though_its_connections_go_silent() {
+    let mut linked = Linked::new().await;
+    for replica in 1..=3 {
+        linked.site.start_control(replica);
+    }
+    linked.all_replicas_vote().await;
+    linked.site.kill_control(3);
+    fill_ledger(&linked.site).await;
+    fs::remove_dir_all(linked.site.data_folder(3)).unwrap();
+    linked.set(3, SLOW);
+    linked.site.start_control(3);
+    let start = Instant::now();
+    tokio::select! {
+        () = linked.all_replicas_vote() => {}
+        () = linked.silence_links(3) => {}
+    }
+    println!("a blank replica votes after {:?}", start.elapsed());
+}
+
 /// The leader needs the acknowledgement of the replica that receives the table.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_table_over_a_slow_link_causes_no_change_of_leader() {
