A dropped connection of control is closed though its send buffer is full

What could be seen: a caller that left while a large call on a connection of its own waited for room in the send buffer, because the connection was silent or its peer suspended, left the descriptor open until TCP gave up, some 15 minutes.

Cause: the library's task that sends awaits the write and does not see that its client was dropped.

A dropped client aborts its stream, which ends both tasks.

--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -147,6 +147,13 @@
     }
 }
 
+impl Drop for Client {
+    fn drop(&mut self) {
+        // The library's task that sends does not end while it waits for room in the send buffer.
+        self.activity.abort();
+    }
+}
+
 impl Deref for Client {
     type Target = WsClient;
 
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -39,6 +39,8 @@
 const LARGE_CALL_BYTES: usize = 256 * 1024;
 /// Largest size in bytes of a call on a connection with keep-alive.
 const KEPT_CALL_BYTES: usize = 50_000;
+/// More bytes than the buffers of a connection hold.
+const UNSENT_BYTES: usize = 24 << 20;
 /// Time for which the traffic of an idle connection is counted.
 const IDLE_TIME: Duration = Duration::from_secs(6);
 /// Headers of a packet and of half an acknowledgement in bytes: pings are acknowledged by their
@@ -336,7 +338,7 @@
     assert!(caller.short_call().await);
     stuck.notify_one();
     let large = caller.clone();
-    let large = tokio::spawn(async move { large.call(Duration::ZERO, 64 << 20).await });
+    let large = tokio::spawn(async move { large.call(Duration::ZERO, UNSENT_BYTES).await });
     let took = caller.first_answer().await;
     assert!(took.is_some_and(|took| took < RECOVERY_TIMEOUT), "{took:?}");
     assert!(!large.await.unwrap());
@@ -356,3 +358,21 @@
     println!("table: {answered} after {:?}", start.elapsed());
     assert!(answered);
 }
+
+/// Guards against descriptors that stay open because the caller of a large call has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_connection_is_closed_though_its_send_buffer_is_full() {
+    let (address, stuck) = start_stuck_relay(start_server().await).await;
+    let caller = Caller::with(&address, None);
+    assert!(caller.short_call().await);
+    stuck.notify_one();
+    let large = caller.call(Duration::ZERO, UNSENT_BYTES);
+    assert!(tokio::time::timeout(Duration::from_secs(1), large).await.is_err());
+    assert_eq!(sockets_to(&address), 1);
+    drop(caller);
+    let start = Instant::now();
+    while sockets_to(&address) > 0 {
+        assert!(start.elapsed() < RECOVERY_TIMEOUT, "the connection is still open");
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+}
