--- a/crates/cherrystream/tests/processes/silence.rs
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -18,6 +18,8 @@
 const INTENT_BYTES: usize = 250_000;
 /// Silences of all connections in one run.
 const ROUNDS: usize = 3;
+/// Longest time until a call is refused whose leader is known to be unreachable.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time until a status with an unreachable replica is answered.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two calls of one operator.
@@ -238,3 +240,26 @@
     let short = Ask::get("/v1/config");
     assert_eq!(client::send(&group.site.api(follower), &short).await.unwrap().status, 200);
 }
+
+/// Guards against callers that wait for a leader that is known to be unreachable.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_fail_at_once_while_the_leader_is_known_to_be_unreachable() {
+    let group = Group::start().await;
+    let leader = group.site.leader().await;
+    let follower = (1..=3).find(|replica| *replica != leader).unwrap();
+    // The leader still reaches the follower, which therefore keeps following it.
+    let relay = &group.relays[&(follower, leader)];
+    relay.set(Mode::Hold);
+    tokio::time::sleep(RECOVERY_TIMEOUT).await;
+    for ask in [Ask::get("/v1/config"), intent(follower, 0)] {
+        let start = Instant::now();
+        let answer = client::send(&group.site.api(follower), &ask).await.unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(start.elapsed() < REFUSAL_TIMEOUT, "{:?}", start.elapsed());
+    }
+    relay.set(Mode::Pass);
+    let api = group.site.api(follower);
+    let patience = PATIENCES[0];
+    let took = first_answer(api, patience, |_| Ask::get("/v1/config")).await;
+    assert!(took.is_some_and(|took| took < RECOVERY_TIMEOUT), "{took:?}");
+}
