An answer that comes faster than the lowest throughput counts as an answer

What was seen (a trial: three replicas, each suspended for 2 s in turn, 15 suspensions): log connections between followers were replaced each 400 ms, 45 times in all, though nothing was silent.

A received byte may answer all that was written. The time that is left of the transfer still extends the timeout of the next written byte.

--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -29,8 +29,8 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
 /// Detection of silent connections for messages of the log. They are answered at once, so the
-/// timeout needs no ping, and ends together with an interval of heartbeats before a leader misses
-/// its quorum.
+/// timeout needs no pings. The next heartbeat and the timeout end before a leader misses its quorum
+/// (700 ms at least).
 const LOG_KEEP_ALIVE: keep_alive::Options = keep_alive::Options {
     ping_interval: Duration::from_millis(1_000),
     timeout: Duration::from_millis(400),
--- a/crates/cherrystream-core/src/keep_alive.rs
+++ b/crates/cherrystream-core/src/keep_alive.rs
@@ -15,11 +15,11 @@
 /// Settings of a [`KeepAlive`].
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Time between two pings. A connection that carries nothing else is silent at most this time
-    /// before its timeout begins.
+    /// Time between two pings. On a connection that carries nothing else, the timeout begins with
+    /// the next ping.
     pub ping_interval: Duration,
-    /// Time after which a connection with unanswered bytes is silent. Longer than the interval of
-    /// pings, where a call may take longer than this: the pings sent meanwhile are answered.
+    /// Time after which a connection with unanswered bytes is silent. Must cover a ping and its
+    /// answer if calls may take longer than this.
     pub timeout: Duration,
     /// Maximum time by which written bytes extend the timeout.
     pub max_extension: Duration,
@@ -52,13 +52,11 @@
         self.last_received
     }
 
-    /// Records that bytes were received. Bytes that are still being transferred are not answered
-    /// by them.
+    /// Records that bytes were received. They may answer all that was written.
     pub fn on_received(&mut self, now: Timestamp) {
         self.last_received = now;
         self.transfer = self.transferred_at.since(now);
-        let is_pending = self.is_blocked || self.transfer > Duration::ZERO;
-        self.unanswered_since = is_pending.then_some(now);
+        self.unanswered_since = self.is_blocked.then_some(now);
     }
 
     /// Records that bytes were written.
--- a/crates/cherrystream-core/tests/keep_alive.rs
+++ b/crates/cherrystream-core/tests/keep_alive.rs
@@ -87,6 +87,15 @@
     assert!(replaced_at >= at(1_700), "{replaced_at:?}");
 }
 
+/// Guards against replacing a connection whose link is faster than is allowed for.
+#[test]
+fn an_answer_before_the_end_of_the_allowed_transfer_is_an_answer() {
+    let (mut keep_alive, mut traffic) = opened();
+    traffic.on_written(at(0), MIN_THROUGHPUT as usize);
+    traffic.on_received(at(100));
+    assert_eq!(replaced_at(&mut keep_alive, &traffic, END), None);
+}
+
 /// Guards against a connection whose send buffer is full when it goes silent.
 #[test]
 fn a_blocked_connection_is_replaced() {
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -147,6 +147,17 @@
     }
 }
 
+/// Guards against replacing idle connections whose pings are rarer than their timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_with_rare_pings_is_kept() {
+    let (ping_interval, timeout) = (Duration::from_secs(1), Duration::from_millis(400));
+    let opts = Options { ping_interval, timeout, ..KEEP_ALIVE };
+    let caller = Caller::with(&start_server().await, Some(opts));
+    assert!(caller.call(Duration::ZERO, KEPT_CALL_BYTES).await);
+    tokio::time::sleep(RECOVERY_TIMEOUT).await;
+    assert_eq!(caller.metrics.replaced.get(), 0);
+}
+
 /// Guards against calls that hang for their timeout after their connection was replaced.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_in_flight_fails_when_its_connection_is_replaced() {
