--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::handle::COMMIT_TIMEOUT;
 use crate::metrics::Metrics;
 use crate::queue::Queue;
+use cherrystream_core::keep_alive::{self, MIN_THROUGHPUT};
 use cherrystream_core::transfer::{self, PieceSize, Sending};
 use cherrystream_net::key::Secret;
 use cherrystream_net::managed_client::{
@@ -11,6 +12,7 @@
 use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{PieceReply, RaftMessage};
 use jsonrpsee::core::client::Error as ClientError;
+use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,12 +22,21 @@
 /// Timeout of a call with short messages or with one piece of a long message. The size of such a
 /// call is bounded.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Lowest throughput in bytes per second that the timeout of a large call allows for. A seventh of
-/// the thinnest links to allow for (340 KB a second), which carry other traffic too.
-const MIN_THROUGHPUT: f64 = 50_000.0;
+/// Largest payload in bytes of a call on a connection that short calls share. At the lowest
+/// throughput, its transfer takes a third of `CALL_TIMEOUT`.
+const MAX_SHARED_CALL_BYTES: usize = 25_000;
 /// Delay before the next attempt to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
+/// Detection of silent connections for messages of the log. They are answered at once, so the
+/// timeout needs no pings. The next heartbeat and the timeout end before a leader misses its quorum
+/// (700 ms at least).
+const LOG_KEEP_ALIVE: keep_alive::Options = keep_alive::Options {
+    ping_interval: Duration::from_millis(1_000),
+    timeout: Duration::from_millis(400),
+    ..KEEP_ALIVE
+};
+
 /// Sends messages to the other replicas.
 #[derive(Clone, Default)]
 pub struct Peers {
@@ -48,7 +59,7 @@
         let mut tasks = JoinSet::new();
         for (id, connection) in others {
             let queue = Arc::new(Queue::new(metrics.clone()));
-            tasks.spawn(send_short(connection.clone(), queue.clone()));
+            tasks.spawn(send_short(connection.for_log(), queue.clone()));
             tasks.spawn(send_long(own, connection.for_transfers(), queue.clone()));
             queues.insert(*id, queue);
         }
@@ -93,7 +104,7 @@
     }
 }
 
-async fn send_short(connection: Arc<ReplicaConnection>, queue: Arc<Queue>) {
+async fn send_short(connection: ReplicaConnection, queue: Arc<Queue>) {
     loop {
         let messages = queue.next_short().await;
         let Some(client) = connection.any_client().await else {
@@ -206,12 +217,21 @@
     }
 }
 
-/// Returns the timeout of a call with a payload of `bytes`.
-fn timeout_for(bytes: usize) -> Duration {
-    match bytes {
-        0 => CALL_TIMEOUT,
-        _ => COMMIT_TIMEOUT + Duration::from_secs_f64(bytes as f64 / MIN_THROUGHPUT),
-    }
+/// Error of a call to a replica.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// The replica is unreachable; it has not received the call.
+    #[snafu(display("the replica at {address} is unreachable"))]
+    Unreachable {
+        /// RPC address of the replica.
+        address: String,
+    },
+    /// The call failed.
+    #[snafu(transparent)]
+    Failed {
+        /// Why it failed.
+        source: ClientError,
+    },
 }
 
 /// A connection to a replica that is kept open between calls.
@@ -243,17 +263,25 @@
         ReplicaConnection::with(self.address.clone(), self.opts.clone())
     }
 
-    /// Creates a connection like [`ReplicaConnection::sibling`] whose timeout covers the transfer
+    /// Creates a connection like [`ReplicaConnection::sibling`] whose timeouts cover the transfer
     /// of `bytes` and the commit on the leader.
     pub fn for_bytes(&self, bytes: usize) -> ReplicaConnection {
+        let transfer = Duration::from_secs_f64(bytes as f64 / MIN_THROUGHPUT);
+        let max_extension = KEEP_ALIVE.max_extension.max(transfer);
         let opts = ManagedClientOptions {
-            call_timeout: timeout_for(bytes),
-            keep_alive: None,
+            call_timeout: COMMIT_TIMEOUT + transfer,
+            keep_alive: Some(keep_alive::Options { max_extension, ..KEEP_ALIVE }),
             ..self.opts.clone()
         };
         ReplicaConnection::with(self.address.clone(), opts)
     }
 
+    /// Creates a connection for messages of the log.
+    fn for_log(&self) -> ReplicaConnection {
+        let opts = ManagedClientOptions { keep_alive: Some(LOG_KEEP_ALIVE), ..self.opts.clone() };
+        ReplicaConnection::with(self.address.clone(), opts)
+    }
+
     /// Creates a connection for long messages. Nothing is received while a piece is sent, so the
     /// timeout of its call detects a silent connection.
     fn for_transfers(&self) -> ReplicaConnection {
@@ -277,6 +305,50 @@
         })
     }
 
+    /// Calls the replica. Sends a call whose connection is replaced again on the new one, so it must
+    /// be idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replica is unreachable or does not answer, or with its error.
+    pub async fn call<T, F>(&self, mut call: impl FnMut(Arc<Client>) -> F) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        let unreachable = || CallError::Unreachable { address: self.address() };
+        let client = self.client().await.ok_or_else(unreachable)?;
+        let e = match call(client.clone()).await {
+            Err(e) if !rpc::is_answer(&e) => e,
+            answer => return Ok(answer?),
+        };
+        match self.client().await {
+            Some(replacement) if !Arc::ptr_eq(&client, &replacement) => {
+                Ok(call(replacement).await?)
+            }
+            _ => Err(e.into()),
+        }
+    }
+
+    /// Like [`ReplicaConnection::call`], for calls with a payload of `bytes`. A large one uses a
+    /// connection of its own, so that short calls do not wait for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the replica is unreachable or does not answer, or with its error.
+    pub async fn call_with_bytes<T, F>(
+        &self,
+        bytes: usize,
+        call: impl FnMut(Arc<Client>) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        match bytes {
+            0..=MAX_SHARED_CALL_BYTES => self.call(call).await,
+            _ => self.for_bytes(bytes).call(call).await,
+        }
+    }
+
     /// Returns a client to call, or `None` if the replica is unreachable.
     pub async fn client(&self) -> Option<Arc<Client>> {
         self.client.client().await
@@ -287,9 +359,4 @@
     pub async fn any_client(&self) -> Option<Arc<Client>> {
         self.client.any_client().await
     }
-
-    /// Returns the age of the open connection.
-    pub fn age(&self) -> Option<Duration> {
-        self.client.age()
-    }
 }
