Replaced connections between replicas are counted and logged

Operators could not tell a connection that was replaced after a silence from one that works: the counters of managed connections were on no metrics page, and the log line did not say what the connection was for.

Control registers the counters as cherrystream_control_replica_connections_* and _connects_failed with the label traffic (log, transfer, call, large-call). The log line names traffic, peer, age and time since the last received byte, also once when a silent connection cannot be replaced, with a bounded number of lines. Lines of failed calls write none instead of Rust's Option syntax.

--- a/crates/cherrystream-control/src/call_trace.rs
+++ b/crates/cherrystream-control/src/call_trace.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Logged in place of a value that is not known.
+const NONE: &str = "none";
+
 /// Kind of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -84,10 +87,10 @@
         self.metrics.failed_calls.get_or_create(&FailedCallLabel { call, step, end }).inc();
         let Some(dropped) = self.budget.lock().take(self.clock.now(), true) else { return };
         log::info!(
-            "control: call={call} end={end} step={step} leader={:?} connection_age={:?} took={:?} \
+            "control: call={call} end={end} step={step} leader={} connection_age={} took={:?} \
              dropped_lines={dropped}",
-            trace.leader,
-            trace.connection_age,
+            trace.leader.map_or_else(|| NONE.into(), |leader| leader.to_string()),
+            trace.connection_age.map_or_else(|| NONE.into(), |age| format!("{age:?}")),
             trace.started.elapsed()
         );
     }
--- a/crates/cherrystream-control/src/member_slot.rs
+++ b/crates/cherrystream-control/src/member_slot.rs
@@ -78,11 +78,14 @@
     }
 
     /// Returns the connections to the other replicas.
-    pub fn connections(&self, key: Option<&Secret>) -> BTreeMap<u64, Arc<ReplicaConnection>> {
+    pub fn connections(
+        &self,
+        key: Option<&Secret>,
+        metrics: &Metrics,
+    ) -> BTreeMap<u64, Arc<ReplicaConnection>> {
         let others = self.addresses.iter().filter(|(id, _)| **id != self.identity.replica);
-        others
-            .map(|(id, address)| (*id, Arc::new(ReplicaConnection::new(address, key.cloned()))))
-            .collect()
+        let connect = |address: &String| ReplicaConnection::new(address, key.cloned(), metrics);
+        others.map(|(id, address)| (*id, Arc::new(connect(address)))).collect()
     }
 }
 
--- a/crates/cherrystream-control/src/metrics.rs
+++ b/crates/cherrystream-control/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the control role.
 
+use cherrystream_net::connection_metrics::ConnectionFamilies;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -45,6 +46,8 @@
     pub leader_changes: Counter,
     /// Calls through the leader that failed.
     pub failed_calls: Family<FailedCallLabel, Counter>,
+    /// Connections to the other replicas.
+    pub connections: ConnectionFamilies,
     /// Syncs of the log to disk.
     pub syncs: Counter,
     /// Size of the log file in bytes.
@@ -78,6 +81,7 @@
             "Calls through the leader that failed, by the step that they had reached",
             self.failed_calls.clone(),
         );
+        self.connections.register(registry.sub_registry_with_prefix("replica"));
         registry.register("syncs", "Writes made durable", self.syncs.clone());
         registry.register("log_bytes", "Bytes of the log file", self.log_bytes.clone());
         registry.register(
--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -5,10 +5,9 @@
 use crate::queue::Queue;
 use cherrystream_core::keep_alive::{self, MIN_THROUGHPUT};
 use cherrystream_core::transfer::{self, PieceSize, Sending};
+use cherrystream_net::connection_metrics::ConnectionFamilies;
 use cherrystream_net::key::Secret;
-use cherrystream_net::managed_client::{
-    ConnectionMetrics, KEEP_ALIVE, ManagedClient, ManagedClientOptions,
-};
+use cherrystream_net::managed_client::{KEEP_ALIVE, ManagedClient, ManagedClientOptions};
 use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{PieceReply, RaftMessage};
 use jsonrpsee::core::client::Error as ClientError;
@@ -25,6 +24,14 @@
 /// Largest payload in bytes of a call on a connection that short calls share. At the lowest
 /// throughput, its transfer takes a third of `CALL_TIMEOUT`.
 const MAX_SHARED_CALL_BYTES: usize = 25_000;
+/// Label of connections that carry short messages of the replicated log.
+const LOG_TRAFFIC: &str = "log";
+/// Label of connections that carry long messages of the replicated log.
+const TRANSFER_TRAFFIC: &str = "transfer";
+/// Label of connections that carry calls.
+const CALL_TRAFFIC: &str = "call";
+/// Label of connections that carry one large call each.
+const LARGE_CALL_TRAFFIC: &str = "large-call";
 /// Delay before the next attempt to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
@@ -237,30 +244,37 @@
 /// A connection to a replica that is kept open between calls.
 pub struct ReplicaConnection {
     address: Arc<watch::Sender<String>>,
+    families: ConnectionFamilies,
     opts: ManagedClientOptions,
     client: ManagedClient,
 }
 
 impl ReplicaConnection {
-    /// Creates a connection that is opened by the first call.
-    pub fn new(address: &str, key: Option<Secret>) -> ReplicaConnection {
+    /// Creates a connection for calls. The first call opens it.
+    pub fn new(address: &str, key: Option<Secret>, metrics: &Metrics) -> ReplicaConnection {
+        let address = Arc::new(watch::Sender::new(address.into()));
+        let families = metrics.connections.clone();
         let opts = ManagedClientOptions {
             key,
             call_timeout: CALL_TIMEOUT,
             keep_alive: Some(KEEP_ALIVE),
-            metrics: ConnectionMetrics::default(),
+            metrics: families.metrics(CALL_TRAFFIC),
         };
-        ReplicaConnection::with(Arc::new(watch::Sender::new(address.into())), opts)
+        let client = ManagedClient::new(address.subscribe(), opts.clone());
+        ReplicaConnection { address, families, opts, client }
     }
 
-    fn with(address: Arc<watch::Sender<String>>, opts: ManagedClientOptions) -> ReplicaConnection {
-        let client = ManagedClient::new(address.subscribe(), opts.clone());
-        ReplicaConnection { address, opts, client }
+    fn with(&self, traffic: &'static str, opts: ManagedClientOptions) -> ReplicaConnection {
+        let opts = ManagedClientOptions { metrics: self.families.metrics(traffic), ..opts };
+        let client = ManagedClient::new(self.address.subscribe(), opts.clone());
+        let (address, families) = (self.address.clone(), self.families.clone());
+        ReplicaConnection { address, families, opts, client }
     }
 
-    /// Creates a separate connection to the same replica. Both follow changes of its address.
+    /// Creates a separate connection for calls to the same replica. Both follow changes of its
+    /// address.
     pub fn sibling(&self) -> ReplicaConnection {
-        ReplicaConnection::with(self.address.clone(), self.opts.clone())
+        self.with(CALL_TRAFFIC, self.opts.clone())
     }
 
     /// Creates a connection like [`ReplicaConnection::sibling`] whose timeouts cover the transfer
@@ -273,20 +287,20 @@
             keep_alive: Some(keep_alive::Options { max_extension, ..KEEP_ALIVE }),
             ..self.opts.clone()
         };
-        ReplicaConnection::with(self.address.clone(), opts)
+        self.with(LARGE_CALL_TRAFFIC, opts)
     }
 
     /// Creates a connection for messages of the log.
     fn for_log(&self) -> ReplicaConnection {
         let opts = ManagedClientOptions { keep_alive: Some(LOG_KEEP_ALIVE), ..self.opts.clone() };
-        ReplicaConnection::with(self.address.clone(), opts)
+        self.with(LOG_TRAFFIC, opts)
     }
 
     /// Creates a connection for long messages. Nothing is received while a piece is sent, so the
     /// timeout of its call detects a silent connection.
     fn for_transfers(&self) -> ReplicaConnection {
         let opts = ManagedClientOptions { keep_alive: None, ..self.opts.clone() };
-        ReplicaConnection::with(self.address.clone(), opts)
+        self.with(TRANSFER_TRAFFIC, opts)
     }
 
     /// Returns the RPC address of the replica.
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -72,7 +72,7 @@
         let folder = DiskFolder::try_new(&settings.data_folder)
             .map_err(errors::folder(format!("open {}", settings.data_folder)))?;
         let place = find_place(settings, &cx, &folder).await?;
-        let connections = place.connections(cx.key.as_ref());
+        let connections = place.connections(cx.key.as_ref(), &cx.metrics);
         let peers = Peers::start(place.identity.replica, &connections, cx.metrics.clone());
         let credentials = Arc::new(read_operators(&settings.operators)?);
         let listener = serve::listen(&settings.api_address).await?;
--- a/crates/cherrystream-control/tests/lines.rs
+++ b/crates/cherrystream-control/tests/lines.rs
@@ -30,7 +30,7 @@
     tokio::spawn(server.stopped());
     let relay = Relay::start("127.0.0.1:0", &address).await;
     relay.set(Mode::Rate(LINK_BANDWIDTH));
-    (ReplicaConnection::new(&relay.address, None), relay)
+    (ReplicaConnection::new(&relay.address, None, &Metrics::default()), relay)
 }
 
 /// Guards against a timeout that does not grow with the size of the call.
--- a/crates/cherrystream-net/src/lib.rs
+++ b/crates/cherrystream-net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod chunks;
 pub mod clock;
+pub mod connection_metrics;
 pub mod errors;
 pub mod interface;
 pub mod key;
--- a/crates/cherrystream-net/src/managed_client.rs
+++ b/crates/cherrystream-net/src/managed_client.rs
@@ -5,11 +5,11 @@
 //! usable depends on them.
 
 use crate::activity::Activity;
+use crate::connection_metrics::ConnectionMetrics;
 use crate::key::Secret;
 use crate::rpc::{self, Client, ConnectOptions};
 use cherrystream_core::keep_alive::{Action, KeepAlive, Options};
 use cherrystream_core::units::Timestamp;
-use prometheus_client::metrics::counter::Counter;
 use std::future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,17 +28,6 @@
 /// Longest wait of a call for a connection that is being opened.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Metrics of managed connections.
-#[derive(Clone, Debug, Default)]
-pub struct ConnectionMetrics {
-    /// Connections opened.
-    pub opened: Counter,
-    /// Silent connections that were replaced.
-    pub replaced: Counter,
-    /// Attempts to connect that failed.
-    pub failed: Counter,
-}
-
 /// State of the connection.
 #[derive(Clone, Default)]
 enum State {
@@ -220,11 +209,7 @@
                 client.activity().abort();
                 return client.activity().clone();
             };
-            let (age, silence) = (client.activity().age(), client.activity().silence());
-            log::info!(
-                "rpc: the connection to {}, {age:?} old, was silent for {silence:?} and is replaced",
-                *self.address.borrow()
-            );
+            self.log_silence(&client, "replaced");
             self.opts.metrics.replaced.inc();
             // Calls that fail because of the abort find the replacement.
             self.state.send_replace(State::Open(replacement.clone()));
@@ -256,7 +241,12 @@
                         return Some(replacement);
                     }
                     Some(_) => {}
-                    None => keep_alive.on_attempt_failed(activity.now()),
+                    None => {
+                        if !keep_alive.is_unreachable(now, &traffic) {
+                            self.log_silence(client, "kept, because no new one can be opened");
+                        }
+                        keep_alive.on_attempt_failed(activity.now());
+                    }
                 },
                 Action::Check(at) => {
                     let ended = self.wait_for_end(client);
@@ -268,6 +258,11 @@
         }
     }
 
+    fn log_silence(&self, client: &Client, action: &str) {
+        let address = self.address.borrow();
+        self.opts.metrics.log_silence(&address, client.activity(), action);
+    }
+
     /// Waits until a connection has ended or the address has changed.
     async fn wait_for_end(&mut self, client: &Client) {
         let changed = async {
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -6,9 +6,8 @@
 mod relay;
 
 use cherrystream_core::keep_alive::Options;
-use cherrystream_net::managed_client::{
-    ConnectionMetrics, KEEP_ALIVE, ManagedClient, ManagedClientOptions,
-};
+use cherrystream_net::connection_metrics::ConnectionMetrics;
+use cherrystream_net::managed_client::{KEEP_ALIVE, ManagedClient, ManagedClientOptions};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
--- a/crates/cherrystream/tests/processes/silence.rs
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -22,6 +22,8 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time until a status with an unreachable replica is answered.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Port of the metrics of replica 0; those of the others follow.
+const METRICS_PORT: u16 = 7500;
 /// Pause between two calls of one operator.
 const CALL_PAUSE: Duration = Duration::from_millis(20);
 /// Times after which operators give up a call.
@@ -47,6 +49,8 @@
             }
         }
         for replica in 1..=3 {
+            let metrics = site.address(METRICS_PORT + replica as u16);
+            site.control_top_lines = vec![format!("metrics_address: {metrics}")];
             site.start_control(replica);
         }
         // Every replica has open connections before they go silent.
@@ -66,6 +70,33 @@
     }
 }
 
+impl Group {
+    /// Returns the metrics page of a replica.
+    async fn metrics(&self, replica: u64) -> String {
+        let address = self.site.address(METRICS_PORT + replica as u16);
+        wait::until("the replica returns its metrics", || async {
+            let answer = client::send(&address, &Ask::get("/metrics")).await?;
+            Some(String::from_utf8(answer.body.to_vec()).unwrap())
+        })
+        .await
+    }
+
+    /// Returns how many silent connections a replica has replaced.
+    async fn replaced(&self, replica: u64, traffic: &str) -> u64 {
+        let name = "cherrystream_control_replica_connections_replaced_total";
+        let name = format!("{name}{{traffic=\"{traffic}\"}} ");
+        let page = self.metrics(replica).await;
+        let value = page.lines().find_map(|line| line.strip_prefix(&name));
+        value.map_or(0, |value| value.parse().unwrap())
+    }
+
+    /// Returns the log of a replica.
+    fn log(&self, replica: u64) -> String {
+        let log = self.site.folder.path().join(format!("control-{replica}.log"));
+        std::fs::read_to_string(log).unwrap()
+    }
+}
+
 /// Calls a replica again and again, and returns the time until its first successful answer.
 async fn first_answer(
     api: String,
@@ -263,3 +294,27 @@
     let took = first_answer(api, patience, |_| Ask::get("/v1/config")).await;
     assert!(took.is_some_and(|took| took < RECOVERY_TIMEOUT), "{took:?}");
 }
+
+/// Guards against silent connections that operators cannot see in the metrics and the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_connections_are_counted_and_logged() {
+    let group = Group::start().await;
+    let leader = group.site.leader().await;
+    let follower = (1..=3).find(|replica| *replica != leader).unwrap();
+    let peer = &group.relays[&(follower, leader)].address;
+    for traffic in ["log", "call"] {
+        let before = group.replaced(follower, traffic).await;
+        let line = format!("silent connection replaced: traffic={traffic} peer={peer} age=");
+        let lines_before = group.log(follower).matches(&line).count();
+        group.silence(Silenced::Both, |from, to| from == follower && to == leader);
+        let what = format!("the replaced connection for {traffic} is counted and logged");
+        wait::until(&what, || async {
+            // Calls open the connection for calls.
+            client::send(&group.site.api(follower), &Ask::get("/v1/config")).await?;
+            let counted = group.replaced(follower, traffic).await > before;
+            let logged = group.log(follower).matches(&line).count() > lines_before;
+            (counted && logged).then_some(())
+        })
+        .await;
+    }
+}
