Connections whose client is gone no longer keep descriptors for good

What was seen: connections that their client has left without its end being passed on kept a descriptor each in daemons and control replicas until these end; a daemon has 4,100. Some ended only when TCP gave up.

Cause: no listening side detected it, except HTTP/1 between two requests. HTTP/2 connections were not pinged by the server, RPC connections had no limit after their first request, a connection without a first byte had none before its protocol was known, an unfinished body of an operator's call or a report was awaited for good, and jsonrpsee's server waits for a send to a client that never reads.

HTTP/2 keep-alive of hyper closes them (90 s), a first byte within the time of a request head, and request bodies without progress (30 s). RPC connections are aborted when no byte was received for 30 to 45 s, which frees a stuck send too: their clients send pings, every 10 s where nobody watches the connection. The listener's TCP_USER_TIMEOUT (120 s) and SO_KEEPALIVE are inherited by accepted connections. All limits exceed what a slow link or a suspended client needs; idle HTTP/1 connections are closed after 30 s as before.

--- a/crates/cherrystream-control/src/api.rs
+++ b/crates/cherrystream-control/src/api.rs
@@ -100,7 +100,7 @@
             return Err(operators::error(400, "the Idempotency-Key cannot be used", remedy));
         }
     };
-    let text = match body::read_start(body::incoming(incoming), MAX_BODY_BYTES).await {
+    let text = match body::read_request(incoming, MAX_BODY_BYTES).await {
         Ok(Start::Whole(bytes)) => String::from_utf8(bytes.to_vec()),
         Ok(Start::Longer(_)) => {
             return Err(operators::error(413, "the body is too large", "send 256 KiB at most"));
--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod release;
 pub mod role;
 pub mod rollouts;
+mod rpc_listener;
 pub mod rpc_server;
 mod snapshots;
 pub mod standby;
--- a/crates/cherrystream-control/src/orders.rs
+++ b/crates/cherrystream-control/src/orders.rs
@@ -37,7 +37,7 @@
     /// Executes the command in a request and returns the response.
     pub async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let (head, incoming) = req.into_parts();
-        let outcome = match body::read_start(body::incoming(incoming), MAX_COMMAND_BYTES).await {
+        let outcome = match body::read_request(incoming, MAX_COMMAND_BYTES).await {
             Ok(Start::Whole(bytes)) => match self.interface.read_command(&head, &bytes) {
                 Ok(command) => self.execute(command).await,
                 Err(fault) => CommandOutcome::Invalid(fault),
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -10,6 +10,7 @@
 use crate::peers::{CallError, ReplicaConnection};
 use crate::registrar::Registrar;
 use crate::rollouts::Rollouts;
+use crate::rpc_listener;
 use cherrystream_core::instances;
 use cherrystream_core::ledger;
 use cherrystream_core::raft::JoinDecision;
@@ -21,9 +22,12 @@
 use cherrystream_net::rpc::{
     self, Client, ControlRpcClient, ControlRpcServer, KeyLayer, MESSAGE_BYTES,
 };
+use cherrystream_net::tcp;
 use cherrystream_schema::messages;
+use http::Request;
+use hyper::body::Incoming;
 use jsonrpsee::core::{RpcResult, async_trait};
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::{self, HttpBody, Methods, Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use messages::{
     Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, Command, DaemonStatus, HostRecord,
@@ -34,6 +38,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
+use tokio::task;
+use tower::ServiceExt;
 
 /// Maximum number of connections: all daemons connect to one replica when the others are
 /// unreachable.
@@ -93,7 +99,7 @@
 ///
 /// Fails if the address cannot be listened on.
 pub async fn serve(
-    server: impl ControlRpcServer,
+    methods: impl ControlRpcServer,
     address: &str,
     key: Option<Secret>,
     metrics: Metrics,
@@ -105,13 +111,20 @@
         .max_connections(MAX_CONNECTIONS)
         .build();
     let failed = |source| Error::Rpc { address: address.into(), source };
-    let listener = Server::builder()
+    let listener = tcp::listen(address).await.map_err(failed)?;
+    let service = Server::builder()
         .set_config(cfg)
         .set_http_middleware(tower::ServiceBuilder::new().layer(layer))
-        .build(address)
-        .await
-        .map_err(failed)?;
-    Ok(listener.start(server.into_rpc()))
+        .to_service_builder();
+    let methods = Methods::from(methods.into_rpc());
+    let (stop, handle) = server::stop_channel();
+    let accepting = rpc_listener::run(listener, stop, move |stream, stop| {
+        let service = service.clone().build(methods.clone(), stop.clone());
+        let service = service.map_request(|req: Request<Incoming>| req.map(HttpBody::new));
+        server::serve_with_graceful_shutdown(stream, service, stop.shutdown())
+    });
+    task::spawn(accepting);
+    Ok(handle)
 }
 
 impl RpcServer {
--- a/crates/cherrystream-control/tests/lines.rs
+++ b/crates/cherrystream-control/tests/lines.rs
@@ -20,6 +20,11 @@
 /// Size of a large call in bytes.
 const LARGE_CALL_BYTES: usize = 1_000_000;
 
+/// Bandwidth of the thinnest link in bytes per second.
+const THIN_BANDWIDTH: u64 = 85_000;
+/// Size of a call that takes 45 s to send over that link.
+const LONG_CALL_BYTES: usize = 3_825_000;
+
 /// Starts a standby replica behind the link and returns a connection to it.
 async fn connect() -> (ReplicaConnection, Relay) {
     let free = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -60,3 +65,13 @@
     assert!(!large_call.is_finished(), "the large call ended before the short ones");
     assert!(rpc::is_answer(&large_call.await.unwrap().unwrap_err()));
 }
+
+/// Guards against closing a connection as inactive while a large call is on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_takes_long_to_send_is_not_taken_for_inactivity() {
+    let (connection, relay) = connect().await;
+    relay.set(Mode::Rate(THIN_BANDWIDTH));
+    let client = connection.for_bytes(LONG_CALL_BYTES).client().await.unwrap();
+    let e = client.replace_routes(1, "x".repeat(LONG_CALL_BYTES)).await.unwrap_err();
+    assert!(rpc::is_answer(&e), "{e}");
+}
--- a/crates/cherrystream-daemon/src/instances.rs
+++ b/crates/cherrystream-daemon/src/instances.rs
@@ -88,9 +88,7 @@
 
     async fn read(&self, req: Request<Incoming>) -> ReportAnswer {
         let (head, incoming) = req.into_parts();
-        let Ok(Start::Whole(bytes)) =
-            body::read_start(body::incoming(incoming), MAX_REPORT_BYTES).await
-        else {
+        let Ok(Start::Whole(bytes)) = body::read_request(incoming, MAX_REPORT_BYTES).await else {
             let fault = Fault {
                 what: "the body of the report is incomplete or too large".into(),
                 remedy: "send the whole report again, at most 64 KiB long".into(),
--- a/crates/cherrystream-net/src/activity.rs
+++ b/crates/cherrystream-net/src/activity.rs
@@ -7,8 +7,8 @@
 use parking_lot::Mutex;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -89,6 +89,28 @@
     }
 }
 
+/// Aborts a connection on which nothing is received for `timeout`, after at most one and a half
+/// times it. Ends with the connection.
+///
+/// Two checks must find no byte: after a suspension of this process the first one may come before
+/// the bytes that have arrived are read.
+pub async fn abort_when_idle(activity: Weak<Activity>, timeout: Duration) {
+    let interval = timeout / 2;
+    let mut seen = None;
+    let mut unchanged = 0;
+    loop {
+        tokio::time::sleep(interval).await;
+        let Some(activity) = activity.upgrade() else { return };
+        let last_received = Some(activity.traffic().last_received());
+        unchanged = if seen == last_received { unchanged + 1 } else { 0 };
+        seen = last_received;
+        if unchanged == 2 {
+            activity.abort();
+            return;
+        }
+    }
+}
+
 /// A stream whose activity is observed.
 #[derive(Debug)]
 pub struct Observed<S> {
--- a/crates/cherrystream-net/src/body.rs
+++ b/crates/cherrystream-net/src/body.rs
@@ -4,8 +4,10 @@
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 /// Error of reading a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -22,8 +24,11 @@
     full(Bytes::new())
 }
 
+/// Longest wait for the next bytes of a request body.
+const REQUEST_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Returns a body that is received from a connection.
-pub fn incoming(body: hyper::body::Incoming) -> Body {
+pub fn incoming(body: Incoming) -> Body {
     body.map_err(|e| Box::new(e) as BoxError).boxed()
 }
 
@@ -40,15 +45,43 @@
 /// # Errors
 ///
 /// Fails if the body ends early.
-pub async fn read_start(mut body: Body, limit: usize) -> Result<Start, BoxError> {
+pub async fn read_start(body: Body, limit: usize) -> Result<Start, BoxError> {
+    read_frames(body, limit, None).await
+}
+
+/// Like [`read_start`], for the body of a request whose handler has no deadline.
+///
+/// # Errors
+///
+/// Fails if the body ends early, or if no bytes arrive for 30 s.
+pub async fn read_request(body: Incoming, limit: usize) -> Result<Start, BoxError> {
+    read_frames(incoming(body), limit, Some(REQUEST_IDLE_TIMEOUT)).await
+}
+
+async fn next_frame(
+    body: &mut Body,
+    idle_timeout: Option<Duration>,
+) -> Result<Option<Frame<Bytes>>, BoxError> {
+    let frame = match idle_timeout {
+        Some(timeout) => tokio::time::timeout(timeout, body.frame()).await?,
+        None => body.frame().await,
+    };
+    frame.transpose()
+}
+
+async fn read_frames(
+    mut body: Body,
+    limit: usize,
+    idle_timeout: Option<Duration>,
+) -> Result<Start, BoxError> {
     // Avoids buffering a body that announces more than the limit.
     if body.size_hint().lower() > limit as u64 {
         return Ok(Start::Longer(body));
     }
     let mut chunks = Vec::new();
     let mut len = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else { continue };
+    while let Some(frame) = next_frame(&mut body, idle_timeout).await? {
+        let Ok(data) = frame.into_data() else { continue };
         len += data.len();
         chunks.push(data);
         if len > limit {
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -42,6 +42,9 @@
 /// transfer of a message, since an incomplete one does not count.
 const MIN_INACTIVITY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Interval of pings on a connection that its client does not watch.
+const IDLE_PING_INTERVAL: Duration = Duration::from_secs(10);
+
 /// RPC methods of a control replica.
 #[rpc(client, server, namespace = "cherrystream", namespace_separator = ".")]
 pub trait ControlRpc {
@@ -169,7 +172,8 @@
     pub key: Option<&'a Secret>,
     /// Time after which a call fails.
     pub call_timeout: Duration,
-    /// Interval of WebSocket pings; `None` for a connection without pings.
+    /// Interval of WebSocket pings; `None` for pings that only show the server that its client is
+    /// there.
     pub ping_interval: Option<Duration>,
 }
 
@@ -215,7 +219,7 @@
         .request_timeout(opts.call_timeout)
         .connection_timeout(CONNECT_TIMEOUT)
         .set_headers(headers);
-    let Some(ping_interval) = opts.ping_interval else { return builder };
+    let ping_interval = opts.ping_interval.unwrap_or(IDLE_PING_INTERVAL);
     // Pings and their replies wait behind a message that is being transferred.
     let inactivity_timeout = MIN_INACTIVITY_TIMEOUT.max(opts.call_timeout);
     let pings = PingConfig::new().ping_interval(ping_interval).inactive_limit(inactivity_timeout);
--- a/crates/cherrystream-net/src/serve.rs
+++ b/crates/cherrystream-net/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Body;
 use crate::errors::{Error, Result};
+use crate::tcp;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -17,8 +18,13 @@
 const MAX_HEAD_BYTES: u32 = 64 * 1024;
 /// Size of the HTTP/1 read buffer in bytes; limits the request head.
 const H1_BUFFER_BYTES: usize = 64 * 1024;
-/// Timeout for receiving an HTTP/1 request head.
+/// Timeout for receiving an HTTP/1 request head, and for the next one on an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without a received frame after which an HTTP/2 connection is pinged.
+const PING_IDLE: Duration = Duration::from_secs(30);
+/// Time without a reply to a ping after which an HTTP/2 connection is closed. A reply waits behind
+/// the bytes that were sent before it: [`CONNECTION_WINDOW`] takes 50 s at 85 KB/s.
+const PING_TIMEOUT: Duration = Duration::from_secs(60);
 /// Flow control window of an HTTP/2 stream in bytes.
 pub const STREAM_WINDOW: u32 = 256 * 1024;
 /// Flow control window of an HTTP/2 connection in bytes.
@@ -84,9 +90,7 @@
 ///
 /// Fails if the address is in use or does not belong to this host.
 pub async fn listen(address: &str) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen { address: address.into(), source })
+    tcp::listen(address).await.map_err(|source| Error::Listen { address: address.into(), source })
 }
 
 /// Serves a listener until all connections have ended in the closing phase.
@@ -156,6 +160,9 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    if !wait_for_first_byte(&stream, &phases).await {
+        return;
+    }
     let service = hyper::service::service_fn(move |req| {
         let answer = handler(req);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -169,6 +176,18 @@
     log_end(connection.await);
 }
 
+/// Returns whether a byte arrives in time. The builder has no timeout until it knows the protocol.
+async fn wait_for_first_byte(stream: &TcpStream, phases: &Phases) -> bool {
+    let mut byte = [0];
+    tokio::select! {
+        biased;
+        peeked = tokio::time::timeout(HEAD_TIMEOUT, stream.peek(&mut byte)) => {
+            matches!(peeked, Ok(Ok(_)))
+        }
+        () = phases.reached(Phase::Closing) => false,
+    }
+}
+
 fn builder() -> Builder {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -179,6 +198,8 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .keep_alive_interval(PING_IDLE)
+        .keep_alive_timeout(PING_TIMEOUT)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_concurrent_streams(MAX_STREAMS)
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod control;
 mod ending;
+mod half_open;
 mod leaving;
 mod limits;
 mod once;
--- a/crates/cherrystream/tests/processes/support/process.rs
+++ b/crates/cherrystream/tests/processes/support/process.rs
@@ -89,6 +89,11 @@
         line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// Waits until the process exits.
     pub async fn ended(&mut self) -> ExitStatus {
         let start = Instant::now();
