--- a/crates/cherrystream/tests/processes/silence.rs
+++ b/crates/cherrystream/tests/processes/silence.rs
@@ -23,6 +23,12 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time until a status with an unreachable replica is answered.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Port of the metrics of replica 0; those of the others follow.
+const METRICS_PORT: u16 = 7500;
+/// Time without calls in which working connections are watched.
+const QUIET_TIME: Duration = Duration::from_secs(5);
+/// Most connections that are replaced in that time. A busy machine may delay an answer.
+const MAX_REPLACED: u64 = 2;
 /// Pause between two calls of one operator.
 const CALL_PAUSE: Duration = Duration::from_millis(20);
 /// Times after which operators give up a call.
@@ -38,8 +44,6 @@
 impl Group {
     async fn start() -> Group {
         let mut site = Site::new(3);
-        // The table of routes is replaced and read by the calls of this interface.
-        site.control_top_lines.push("interface: platform".into());
         let mut relays = BTreeMap::new();
         for from in 1..=3 {
             for to in (1..=3).filter(|to| *to != from) {
@@ -50,6 +54,10 @@
             }
         }
         for replica in 1..=3 {
+            // The table of routes is replaced and read by the calls of this interface.
+            let metrics = site.address(METRICS_PORT + replica as u16);
+            site.control_top_lines =
+                vec!["interface: platform".into(), format!("metrics_address: {metrics}")];
             site.start_control(replica);
         }
         // Every replica has open connections before they go silent.
@@ -71,6 +79,44 @@
     }
 }
 
+impl Group {
+    /// Returns the metrics page of a replica.
+    async fn metrics(&self, replica: u64) -> String {
+        let address = self.site.address(METRICS_PORT + replica as u16);
+        wait::until("the replica returns its metrics", || async {
+            let answer = client::send(&address, &Ask::get("/metrics")).await?;
+            Some(String::from_utf8(answer.body.to_vec()).unwrap())
+        })
+        .await
+    }
+
+    /// Returns how many silent connections a replica has replaced.
+    async fn replaced(&self, replica: u64, traffic: &str) -> u64 {
+        let name = "cherrystream_control_replica_connections_replaced_total";
+        let name = format!("{name}{{traffic=\"{traffic}\"}} ");
+        let page = self.metrics(replica).await;
+        let value = page.lines().find_map(|line| line.strip_prefix(&name));
+        value.map_or(0, |value| value.parse().unwrap())
+    }
+
+    /// Returns how many silent connections all replicas have replaced.
+    async fn all_replaced(&self) -> u64 {
+        let mut all = 0;
+        for replica in 1..=3 {
+            for traffic in ["log", "call"] {
+                all += self.replaced(replica, traffic).await;
+            }
+        }
+        all
+    }
+
+    /// Returns the log of a replica.
+    fn log(&self, replica: u64) -> String {
+        let log = self.site.folder.path().join(format!("control-{replica}.log"));
+        std::fs::read_to_string(log).unwrap()
+    }
+}
+
 /// Calls a replica again and again, and returns the time until its first successful answer.
 async fn first_answer(
     api: String,
@@ -290,3 +336,36 @@
     let took = first_answer(api, patience, |_| Ask::get("/v1/config")).await;
     assert!(took.is_some_and(|took| took < RECOVERY_TIMEOUT), "{took:?}");
 }
+
+/// Guards against working connections that are replaced again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn working_connections_are_not_replaced() {
+    let group = Group::start().await;
+    tokio::time::sleep(QUIET_TIME).await;
+    let replaced = group.all_replaced().await;
+    assert!(replaced <= MAX_REPLACED, "{replaced} connections were replaced");
+}
+
+/// Guards against silent connections that operators cannot see in the metrics and the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_connections_are_counted_and_logged() {
+    let group = Group::start().await;
+    let leader = group.site.leader().await;
+    let follower = (1..=3).find(|replica| *replica != leader).unwrap();
+    let peer = &group.relays[&(follower, leader)].address;
+    for traffic in ["log", "call"] {
+        let before = group.replaced(follower, traffic).await;
+        let line = format!("silent connection replaced: traffic={traffic} peer={peer} age=");
+        let lines_before = group.log(follower).matches(&line).count();
+        group.silence(Silenced::Both, |from, to| from == follower && to == leader);
+        let what = format!("the replaced connection for {traffic} is counted and logged");
+        wait::until(&what, || async {
+            // Calls open the connection for calls.
+            client::send(&group.site.api(follower), &Ask::get("/v1/config")).await?;
+            let counted = group.replaced(follower, traffic).await > before;
+            let logged = group.log(follower).matches(&line).count() > lines_before;
+            (counted && logged).then_some(())
+        })
+        .await;
+    }
+}
