A daemon replaces a silent connection to control independently of its calls

What callers saw: after an open connection to control went silent for good, a change of configuration reached the daemon only after the timeout of its heartbeat call (8 s where the replicas are fixed), and never while local changes kept interrupting the calls. Reports of instances were refused twice in a row, and a download waited for the timeout of its chunk.

Cause: only the timeout of a call detected the silence. A heartbeat that is abandoned for a local change starts a new timeout, and the chunk of a download has its own.

Fix: the daemon pings control every 400 ms, and a future that lasts as long as the connection, not as long as a call, waits until no byte has arrived for 1 s. It then opens a connection to the replica that is to be tried next, and only once that is open leaves the silent one, whose calls end at once.

--- a/crates/cherrystream-daemon/src/sync/mod.rs
+++ b/crates/cherrystream-daemon/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! Replicates the shared state: heartbeats to control, and peers while control is unreachable.
 
+mod connection;
 mod downloads;
 mod newest_peer;
 
@@ -17,10 +18,12 @@
 use cherrystream_net::body::{self, Start};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::key::Secret;
-use cherrystream_net::rpc::{self, Client, ControlRpcClient};
+use cherrystream_net::rpc::{self, Client, ConnectOptions, ControlRpcClient};
 use cherrystream_net::serve::{Phase, Phases};
 use cherrystream_schema::messages::{HostRecord, Offer, SyncReply, SyncRequest, Update};
+use connection::{Connection, SilenceDetector};
 use parking_lot::Mutex;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -94,44 +97,129 @@
     /// Follows control for the lifetime of the process.
     pub async fn run(self: Arc<Self>) {
         let mut search = ControlSearch::default();
+        let mut replacement = None;
         loop {
-            let address = self.address();
             let started = Instant::now();
-            let end = match self.connect(&address, search.confirmed).await {
-                Ok(client) => {
-                    let client = Arc::new(client);
-                    self.downloads.set_control(Some(client.clone()));
-                    let end = self.follow(&client, &address, &mut search).await;
-                    self.downloads.set_control(None);
-                    end
+            let (address, opened) = match replacement.take() {
+                Some(Connection { address, client }) => (address, Ok(client)),
+                None => {
+                    let address = self.address();
+                    let opened = self.connect(&address, search.confirmed).await;
+                    (address, opened)
                 }
+            };
+            let end = match opened {
+                Ok(client) => self.use_connection(&client, &address, &mut search).await,
                 Err(reason) => LeaveReason::Lost { reason, took: started.elapsed() },
             };
-            let LeaveReason::Lost { reason, took } = end else { continue };
-            self.control.lock().on_failure(self.clock.now(), &address, took);
-            search.failures += 1;
-            if !search.is_unreachable {
-                log::warn!("sync: control is unreachable: {reason}");
+            match end {
+                LeaveReason::NearerReplica => {}
+                LeaveReason::Silent(connection) => replacement = Some(connection),
+                LeaveReason::Lost { reason, took } => {
+                    self.on_lost(&address, &reason, took, &mut search).await;
+                }
+            }
+        }
+    }
+
+    /// Follows a replica until the daemon has to leave it, and returns why. Calls that are in
+    /// progress on a lost connection end at once.
+    async fn use_connection(
+        &self,
+        client: &Arc<Client>,
+        address: &str,
+        search: &mut ControlSearch,
+    ) -> LeaveReason {
+        self.downloads.set_control(Some(client.clone()));
+        let end = self.follow(client, address, search).await;
+        match &end {
+            LeaveReason::NearerReplica => self.downloads.set_control(None),
+            LeaveReason::Lost { .. } => {
+                self.downloads.set_control(None);
+                client.activity().abort();
             }
-            search.is_unreachable = true;
-            self.metrics.control_errors.inc();
-            if !search.confirmed {
-                self.ask_seed_peers().await;
+            LeaveReason::Silent(replacement) => {
+                let activity = client.activity();
+                log::info!(
+                    "sync: the connection to {address}, {:?} old, was silent for {:?} and is \
+                     replaced by one to {}",
+                    activity.age(),
+                    activity.silence(),
+                    replacement.address
+                );
+                self.downloads.set_control(Some(replacement.client.clone()));
+                activity.abort();
             }
-            self.add_seeds(search.failures);
-            let pause = if search.confirmed { RETRY_PAUSE } else { STARTUP_RETRY_PAUSE };
-            tokio::time::sleep(pause).await;
         }
+        end
+    }
+
+    /// Handles the loss of a replica; returns when the next one may be tried.
+    async fn on_lost(
+        &self,
+        address: &str,
+        reason: &str,
+        took: Duration,
+        search: &mut ControlSearch,
+    ) {
+        self.control.lock().on_failure(self.clock.now(), address, took);
+        search.failures += 1;
+        if !search.is_unreachable {
+            log::warn!("sync: control is unreachable: {reason}");
+        }
+        search.is_unreachable = true;
+        self.metrics.control_errors.inc();
+        if !search.confirmed {
+            self.ask_seed_peers().await;
+        }
+        self.add_seeds(search.failures);
+        let pause = if search.confirmed { RETRY_PAUSE } else { STARTUP_RETRY_PAUSE };
+        tokio::time::sleep(pause).await;
+    }
+
+    async fn connect(&self, address: &str, confirmed: bool) -> Result<Arc<Client>, String> {
+        let opts = ConnectOptions {
+            call_timeout: self.call_timeout(),
+            ping_interval: connection::PING_INTERVAL,
+        };
+        let connecting = rpc::connect_with(address, self.key.as_ref(), opts);
+        let connected = match confirmed || self.fixed {
+            true => connecting.await,
+            false => match tokio::time::timeout(STARTUP_CONNECT_TIMEOUT, connecting).await {
+                Ok(connected) => connected,
+                Err(_) => {
+                    let limit = STARTUP_CONNECT_TIMEOUT;
+                    return Err(format!("no connection to {address} within {limit:?}"));
+                }
+            },
+        };
+        connected.map(Arc::new).map_err(|e| e.to_string())
     }
 
-    async fn connect(&self, address: &str, confirmed: bool) -> Result<Client, String> {
-        let connecting = rpc::connect(address, self.key.as_ref(), self.call_timeout());
-        if confirmed || self.fixed {
-            return connecting.await.map_err(|e| e.to_string());
+    /// Waits until a connection is silent and another one is open. The silent one is kept until
+    /// then: behind a congested link, no other one can be opened either.
+    async fn replacement(&self, client: &Client) -> Connection {
+        let mut detector = SilenceDetector::new(client);
+        loop {
+            detector.silent().await;
+            match self.open_replacement().await {
+                Some(connection) => return connection,
+                None => detector.on_attempt_failed(),
+            }
         }
-        match tokio::time::timeout(STARTUP_CONNECT_TIMEOUT, connecting).await {
-            Ok(connected) => connected.map_err(|e| e.to_string()),
-            Err(_) => Err(format!("no connection to {address} within {STARTUP_CONNECT_TIMEOUT:?}")),
+    }
+
+    /// Opens a connection in place of a silent one, to the replica that is to be tried next.
+    async fn open_replacement(&self) -> Option<Connection> {
+        let address = self.address();
+        let started = Instant::now();
+        match self.connect(&address, true).await {
+            Ok(client) => Some(Connection { address, client }),
+            Err(reason) => {
+                log::debug!("sync: no connection in place of a silent one: {reason}");
+                self.control.lock().on_failure(self.clock.now(), &address, started.elapsed());
+                None
+            }
         }
     }
 
@@ -167,13 +255,17 @@
             instance: self.instances.subscribe(),
             ended: self.downloads.subscribe(),
         };
+        // Lasts longer than a call: calls may be abandoned before they can show a silence.
+        let mut replacement = pin!(self.replacement(client));
         let mut is_following = false;
         loop {
             changes.mark_unchanged();
             let looks_in = !self.fixed && !is_following && !self.is_near(address);
-            let reply = match self.call(client, search.confirmed, looks_in, &mut changes).await {
+            let req = self.heartbeat(search.confirmed, looks_in);
+            let reply = match self.call(client, req, &mut changes, replacement.as_mut()).await {
                 CallOutcome::Answered(reply) => reply,
                 CallOutcome::Abandoned => continue,
+                CallOutcome::Silent(replacement) => return LeaveReason::Silent(replacement),
                 CallOutcome::Failed { reason, took } => return LeaveReason::Lost { reason, took },
             };
             if std::mem::take(&mut search.is_unreachable) {
@@ -211,12 +303,11 @@
     async fn call(
         &self,
         client: &Client,
-        confirmed: bool,
-        looks_in: bool,
+        req: SyncRequest,
         changes: &mut LocalChanges,
+        replacement: Pin<&mut impl Future<Output = Connection>>,
     ) -> CallOutcome {
-        let leaving = self.phases.now() >= Phase::Draining;
-        let req = SyncRequest { looks_in, ..self.heartbeat(leaving, confirmed) };
+        let leaving = req.record.leaving;
         let started = Instant::now();
         let answered = tokio::select! {
             answered = client.sync(req) => answered,
@@ -225,6 +316,9 @@
                 return self.count_call("abandoned", CallOutcome::Abandoned);
             }
             () = changes.changed() => return self.count_call("abandoned", CallOutcome::Abandoned),
+            connection = replacement => {
+                return self.count_call("silent", CallOutcome::Silent(connection));
+            }
         };
         match answered {
             Ok(reply) => self.count_call("answered", CallOutcome::Answered(Box::new(reply))),
@@ -246,7 +340,8 @@
         self.control.lock().is_address_near(address)
     }
 
-    fn heartbeat(&self, leaving: bool, confirmed: bool) -> SyncRequest {
+    fn heartbeat(&self, confirmed: bool, looks_in: bool) -> SyncRequest {
+        let leaving = self.phases.now() >= Phase::Draining;
         SyncRequest {
             record: HostRecord { leaving, ..self.record.clone() },
             held: self.current_config.revision(),
@@ -254,7 +349,7 @@
             wait_ms: self.wait().as_millis() as u64,
             instance: self.instances.current(),
             fetching: self.downloads.status(),
-            looks_in: false,
+            looks_in,
             tally: self.instances.version_counts(),
             control_known: if self.fixed { 0 } else { self.control.lock().checksum() },
         }
@@ -435,6 +530,8 @@
     Answered(Box<SyncReply>),
     /// Cancelled to report a newer change.
     Abandoned,
+    /// Without a reply, as the connection is silent. This one is open.
+    Silent(Connection),
     /// Without a reply.
     Failed {
         /// Why.
@@ -453,6 +550,8 @@
         /// Duration of the failed call.
         took: Duration,
     },
+    /// The connection is silent, and this one is open.
+    Silent(Connection),
     /// A nearer replica is available.
     NearerReplica,
 }
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -36,8 +36,9 @@
 const UNAVAILABLE: i32 = -32_002;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Interval of WebSocket pings. Their replies show that both directions of a connection work.
-const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval of WebSocket pings of [`connect`]. Their replies show that both directions of a
+/// connection work.
+pub const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a complete message after which a connection is closed. Far longer than the
 /// transfer of a message, since an incomplete one does not count.
 const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -155,23 +156,47 @@
     }
 }
 
+/// Settings of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectOptions {
+    /// Timeout of a call.
+    pub call_timeout: Duration,
+    /// Interval of WebSocket pings.
+    pub ping_interval: Duration,
+}
+
 /// Connects to a control replica. Calls on the connection fail after `timeout`.
 ///
 /// # Errors
 ///
 /// Fails if the replica is unreachable or rejects the key.
 pub async fn connect(address: &str, key: Option<&Secret>, timeout: Duration) -> Result<Client> {
+    let opts = ConnectOptions { call_timeout: timeout, ping_interval: PING_INTERVAL };
+    connect_with(address, key, opts).await
+}
+
+/// Connects to a control replica.
+///
+/// # Errors
+///
+/// Fails if the replica is unreachable or rejects the key.
+pub async fn connect_with(
+    address: &str,
+    key: Option<&Secret>,
+    opts: ConnectOptions,
+) -> Result<Client> {
     let mut headers = HeaderMap::new();
     if let Some(value) = key.and_then(|k| HeaderValue::from_str(&k.bearer()).ok()) {
         headers.insert(header::AUTHORIZATION, value);
     }
     let activity = Activity::new();
-    let pings = PingConfig::new().ping_interval(PING_INTERVAL).inactive_limit(INACTIVITY_TIMEOUT);
+    let pings =
+        PingConfig::new().ping_interval(opts.ping_interval).inactive_limit(INACTIVITY_TIMEOUT);
     let builder = WsClientBuilder::new()
         .max_request_size(MESSAGE_BYTES)
         .max_response_size(MESSAGE_BYTES)
         .max_concurrent_requests(MAX_CONCURRENT_CALLS)
-        .request_timeout(timeout)
+        .request_timeout(opts.call_timeout)
         .connection_timeout(CONNECT_TIMEOUT)
         .enable_ws_ping(pings)
         .set_headers(headers);
