The ledger's connections are kept usable by a task, not by the callers of orders

What callers saw: after the connection of a daemon to the leader went silent for good, orders whose callers leave after 0.3 s never succeeded again (none of eight callers in 12 s, for silence in both directions and in each alone), and each got no answer.

Cause: the client of an address was removed where a call saw its error. A claim is cancelled with its request, so it never saw the timeout of 1.5 s. All addresses also shared one lock that was held while one of them was connected to.

Fix: a `ManagedClient` per address replaces a connection that has received nothing for 1 s despite pings every 400 ms; claims in progress then fail and are sent again, which is safe because the ledger gives the same reply to the same claim. Connections to replicas other than the leader are closed once the leader has answered, so that a daemon pings one ledger connection. No lock is held while a connection is opened.

The test fails on the code before with 0.3 s of patience.

--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -227,6 +227,7 @@
         let opts = ManagedClientOptions {
             key,
             call_timeout: CALL_TIMEOUT,
+            ping_interval: rpc::PING_INTERVAL,
             keep_alive: Some(KEEP_ALIVE),
             metrics: ConnectionMetrics::default(),
         };
--- a/crates/cherrystream-daemon/src/ledger.rs
+++ b/crates/cherrystream-daemon/src/ledger.rs
@@ -1,13 +1,16 @@
 //! Client of the ledger: has the leader of control record claims.
 
+use cherrystream_core::keep_alive::Options;
 use cherrystream_net::key::Secret;
+use cherrystream_net::managed_client::{ConnectionMetrics, ManagedClient, ManagedClientOptions};
 use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{ClaimReply, ClaimRequest, ReleaseRequest};
 use jsonrpsee::core::client::Error as ClientError;
+use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Mutex;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Longest time for one call.
@@ -16,6 +19,16 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Attempts to record a release; a lost release costs a resend one more query.
 const MAX_RELEASE_ATTEMPTS: u32 = 3;
+/// Interval of pings. Every daemon pings the leader.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+/// Detection of silent connections. Leaves most of the longest wait for the ledger for a claim on
+/// the new connection.
+const KEEP_ALIVE: Options = Options {
+    timeout: Duration::from_millis(1_000),
+    min_throughput: 50_000.0,
+    max_extension: Duration::from_secs(1),
+    retry_interval: Duration::from_millis(500),
+};
 
 /// No leader with a quorum was reached in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,16 +37,24 @@
 /// A client of the ledger.
 pub struct LedgerClient {
     addresses: Vec<String>,
-    key: Option<Secret>,
-    clients: Mutex<HashMap<String, Arc<Client>>>,
-    leader: parking_lot::Mutex<String>,
+    opts: ManagedClientOptions,
+    /// Never locked together with another lock.
+    clients: Mutex<HashMap<String, Arc<ManagedClient>>>,
+    leader: Mutex<String>,
 }
 
 impl LedgerClient {
     /// Creates a client of the replicas at these addresses.
     pub fn new(addresses: &[String], key: Option<Secret>) -> LedgerClient {
-        let leader = parking_lot::Mutex::new(addresses.first().cloned().unwrap_or_default());
-        LedgerClient { addresses: addresses.to_vec(), key, clients: Mutex::default(), leader }
+        let leader = Mutex::new(addresses.first().cloned().unwrap_or_default());
+        let opts = ManagedClientOptions {
+            key,
+            call_timeout: CALL_TIMEOUT,
+            ping_interval: PING_INTERVAL,
+            keep_alive: Some(KEEP_ALIVE),
+            metrics: ConnectionMetrics::default(),
+        };
+        LedgerClient { addresses: addresses.to_vec(), opts, clients: Mutex::default(), leader }
     }
 
     /// Records a claim.
@@ -90,27 +111,36 @@
         address: &str,
         f: impl AsyncFnOnce(Arc<Client>) -> Result<T, ClientError>,
     ) -> Result<T, Option<String>> {
-        let client = self.client(address).await.ok_or(None)?;
+        // Kept until the call ends, so that a silence during the call is detected.
+        let managed = self.client(address);
+        let client = managed.client().await.ok_or(None)?;
         match f(client).await {
-            Ok(reply) => Ok(reply),
+            Ok(reply) => {
+                self.close_others(address);
+                Ok(reply)
+            }
             Err(e) => {
-                if !rpc::is_answer(&e) {
-                    self.clients.lock().await.remove(address);
-                }
                 log::debug!("ledger: {address}: {e}");
                 Err(rpc::leader_in(&e).filter(|leader| leader != address))
             }
         }
     }
 
-    async fn client(&self, address: &str) -> Option<Arc<Client>> {
-        let mut clients = self.clients.lock().await;
-        if let Some(client) = clients.get(address).filter(|c| c.is_connected()) {
-            return Some(client.clone());
+    fn client(&self, address: &str) -> Arc<ManagedClient> {
+        let mut clients = self.clients.lock();
+        let open = || {
+            let (_, address) = watch::channel(address.to_string());
+            Arc::new(ManagedClient::new(address, self.opts.clone()))
+        };
+        clients.entry(address.into()).or_insert_with(open).clone()
+    }
+
+    /// Closes the connections to replicas other than the leader, once the calls on them have ended.
+    /// Every open connection costs pings.
+    fn close_others(&self, leader: &str) {
+        let mut clients = self.clients.lock();
+        if clients.len() > 1 {
+            clients.retain(|address, _| address == leader);
         }
-        let client = rpc::connect(address, self.key.as_ref(), CALL_TIMEOUT).await.ok()?;
-        let client = Arc::new(client);
-        clients.insert(address.into(), client.clone());
-        Some(client)
     }
 }
--- a/crates/cherrystream-net/src/managed_client.rs
+++ b/crates/cherrystream-net/src/managed_client.rs
@@ -6,7 +6,7 @@
 
 use crate::activity::Activity;
 use crate::key::Secret;
-use crate::rpc::{self, Client};
+use crate::rpc::{self, Client, ConnectOptions};
 use cherrystream_core::keep_alive::{KeepAlive, Options};
 use prometheus_client::metrics::counter::Counter;
 use std::future;
@@ -59,6 +59,8 @@
     pub key: Option<Secret>,
     /// Timeout of a call.
     pub call_timeout: Duration,
+    /// Interval of pings.
+    pub ping_interval: Duration,
     /// Detection of silent connections; `None` if whoever calls detects them.
     pub keep_alive: Option<Options>,
     /// Metrics of the connections.
@@ -173,7 +175,9 @@
     async fn connect(&mut self) -> Option<Arc<Client>> {
         let address = self.address.borrow_and_update().clone();
         let opts = &self.opts;
-        match rpc::connect(&address, opts.key.as_ref(), opts.call_timeout).await {
+        let connect_opts =
+            ConnectOptions { call_timeout: opts.call_timeout, ping_interval: opts.ping_interval };
+        match rpc::connect_with(&address, opts.key.as_ref(), connect_opts).await {
             Ok(client) => {
                 opts.metrics.opened.inc();
                 Some(Arc::new(client))
--- a/crates/cherrystream/tests/processes/silent_control.rs
+++ b/crates/cherrystream/tests/processes/silent_control.rs
@@ -6,6 +6,7 @@
 use super::support::wait;
 use nix::sys::signal::Signal;
 use serde_json::json;
+use std::collections::HashMap;
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,10 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time between two reports of an instance that starts again and again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Times after which callers give up an order.
+const PATIENCES: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(5)];
+/// Callers that place orders.
+const CALLERS: u64 = 8;
 /// Time after which an instance repeats a report that was not acknowledged.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -55,6 +60,7 @@
         let daemon = site.start_daemon_with("host-a", "a", 1, &opts);
         let server = site.start_server("server-a", &[]);
         site.put_service(SERVICE).await;
+        site.put_once(SERVICE).await;
         let fleet = Fleet { site, leader, relays, daemon, server };
         wait::until("the report is acknowledged", || async {
             (fleet.report(1).await == Some(200)).then_some(())
@@ -246,6 +252,64 @@
     (site, relays)
 }
 
+/// Guards against claims that are sent on a silent connection again and again because their callers
+/// leave before the error is seen, and against orders that run twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_succeed_again_after_a_silence_and_run_once() {
+    let mut late = Vec::new();
+    for (silenced, patience) in SILENCES.iter().flat_map(|s| PATIENCES.map(|p| (*s, p))) {
+        let fleet = Fleet::start().await;
+        let before = first_order(&fleet.daemon.caller, patience, 0).await;
+        assert_eq!(before.failure, None, "an order failed before the silence");
+        fleet.silence(silenced);
+        let mut callers = tokio::task::JoinSet::new();
+        for caller in 1..=CALLERS {
+            let address = fleet.daemon.caller.clone();
+            callers.spawn(async move { first_order(&address, patience, caller).await });
+        }
+        let placed = callers.join_all().await;
+        println!("{silenced:?}, {patience:?}: {:?}", placed.iter().map(|p| p.took).max());
+        let is_late = |p: &&Placed| p.took.is_none_or(|took| took > RECOVERY_TIMEOUT);
+        late.extend(placed.iter().filter(is_late).map(|p| format!("{silenced:?}: {p:?}")));
+        let mut runs = HashMap::<String, u32>::new();
+        fleet.server.runs().into_iter().for_each(|key| *runs.entry(key).or_default() += 1);
+        assert!(runs.values().all(|count| *count == 1), "{silenced:?}: {runs:?}");
+    }
+    assert!(late.is_empty(), "not within {RECOVERY_TIMEOUT:?}:\n{}", late.join("\n"));
+}
+
+/// The first order of a caller that succeeded.
+#[derive(Debug)]
+struct Placed {
+    /// Time until then, if any did.
+    took: Option<Duration>,
+    /// The last failure before.
+    failure: Option<String>,
+}
+
+/// Places orders until one succeeds. Each key is sent twice before the next one is used, as a caller
+/// does that does not know whether its order ran.
+async fn first_order(address: &str, patience: Duration, caller: u64) -> Placed {
+    let start = Instant::now();
+    let mut failure = None;
+    for n in 0.. {
+        if start.elapsed() > GIVE_UP {
+            break;
+        }
+        let key = format!("key-{caller}-{}", n / 2);
+        let ask = Ask::post("/orders", format!("pay {key}")).service(SERVICE).key(&key);
+        match tokio::time::timeout(patience, client::send(address, &ask)).await {
+            Ok(Some(answer)) if answer.status == 200 => {
+                return Placed { took: Some(start.elapsed()), failure };
+            }
+            Ok(answer) => failure = answer.map(|a| format!("{} {}", a.status, a.reason())),
+            Err(_) => failure = Some("no answer".into()),
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    Placed { took: None, failure }
+}
+
 /// Guards against a daemon that leaves replicas again and again while one is suspended: it leaves
 /// each at most once for a suspension, and changes still reach it.
 #[tokio::test(flavor = "multi_thread")]
