The command line sends reads and confirmations again when their connection is silent

What callers saw: a command whose connection went silent ended after 15 s with "no answer from the control API", also a read and a confirmation. The confirmation left its outcome unknown, although a plan is accepted once and may be confirmed again.

Cause: the one time limit of 15 s covered the whole call. It is longer than the 10 s for which a confirmation is repeated, so none was.

Fix: a call waits 7 s for the head of its reply, which covers a commit on the leader (5 s). A read is then sent on a new connection within the same 15 s, and a confirmation is repeated as after an unknown outcome. An intent is not sent twice: it ends after 7 s with the error and its remedy.

--- a/crates/cherrystream/src/api_client.rs
+++ b/crates/cherrystream/src/api_client.rs
@@ -2,11 +2,11 @@
 
 use crate::cli::Target;
 use crate::errors::{Error, Result};
-use cherrystream_net::body::{self, Start};
+use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::key::Secret;
 use cherrystream_net::pool::Pool;
 use cherrystream_schema::messages::ErrorReply;
-use http::{Method, Request, StatusCode, header};
+use http::{Method, Request, Response, StatusCode, header};
 use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,6 +22,9 @@
 const MAX_REPLY_BYTES: usize = 64 << 20;
 /// Time limit of a call, connecting included.
 const TIMEOUT: Duration = Duration::from_secs(15);
+/// Time limit until the head of a reply. Covers a commit on the leader, and leaves time for a
+/// second attempt on another connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(7);
 
 /// Client of the control API.
 pub struct ApiClient {
@@ -70,15 +73,8 @@
         bytes: Vec<u8>,
     ) -> Result<T> {
         let no_answer = || Error::NoAnswer { address: self.pool.address().into() };
-        let mut req = Request::builder().method(method).uri(path);
-        req = req.header(header::HOST, self.pool.address());
-        if let Some(token) = &self.token {
-            req = req.header(header::AUTHORIZATION, token.bearer());
-        }
-        let req = req.body(body::full(bytes)).map_err(|_| no_answer())?;
         let exchange = async {
-            let connection = self.pool.connection().await.ok()?;
-            let res = self.pool.send(connection, req).await.ok()?;
+            let res = self.head(&method, path, &bytes).await?;
             let status = res.status();
             match body::read_start(res.into_body(), MAX_REPLY_BYTES).await {
                 Ok(Start::Whole(bytes)) => Some((status, bytes)),
@@ -98,4 +94,31 @@
             Err(_) => Err(no_answer()),
         }
     }
+
+    /// Sends a call, and returns the reply once its head has arrived. A read whose connection is
+    /// silent is sent again on a new one.
+    async fn head(&self, method: &Method, path: &str, bytes: &[u8]) -> Option<Response<Body>> {
+        loop {
+            let sent = self.send(self.request(method, path, bytes)?);
+            match tokio::time::timeout(HEAD_TIMEOUT, sent).await {
+                Ok(res) => return res,
+                Err(_) if method == Method::GET => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    fn request(&self, method: &Method, path: &str, bytes: &[u8]) -> Option<Request<Body>> {
+        let mut req = Request::builder().method(method).uri(path);
+        req = req.header(header::HOST, self.pool.address());
+        if let Some(token) = &self.token {
+            req = req.header(header::AUTHORIZATION, token.bearer());
+        }
+        req.body(body::full(bytes.to_vec())).ok()
+    }
+
+    async fn send(&self, req: Request<Body>) -> Option<Response<Body>> {
+        let connection = self.pool.connection().await.ok()?;
+        self.pool.send(connection, req).await.ok()
+    }
 }
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -19,6 +19,7 @@
 mod rollouts;
 mod silence;
 mod silent_control;
+mod silent_operator;
 // Shared with the soak test, which uses more of it.
 #[allow(dead_code)]
 mod support;
