Light daemons of the bench ping at the daemon's interval

They connected with the interval of the replicas (200 ms), so that their figures held too many pings. Same connections otherwise; builds, not run as a benchmark.

--- a/crates/cherrystream-bench/src/light.rs
+++ b/crates/cherrystream-bench/src/light.rs
@@ -4,7 +4,7 @@
 use cherrystream_core::transfer::PieceSize;
 use cherrystream_net::chunks;
 use cherrystream_net::clock::Clock;
-use cherrystream_net::rpc::{self, Client, ControlRpcClient};
+use cherrystream_net::rpc::{self, Client, ConnectOptions, ControlRpcClient};
 use cherrystream_schema::messages::{
     ChunkRequest, HostRecord, Offer, Revision, SyncReply, SyncRequest,
 };
@@ -22,6 +22,10 @@
 /// Time that a heartbeat waits for a change, as in the daemon.
 const WAIT_MS: u64 = 4_000;
 
+/// Settings of the connections, with the daemon's interval of pings.
+const CONNECT_OPTIONS: ConnectOptions =
+    ConnectOptions { call_timeout: TIMEOUT, ping_interval: Duration::from_millis(400) };
+
 /// Returns the registration of the light daemon with number `i`.
 pub fn record(i: u64) -> HostRecord {
     HostRecord {
@@ -83,7 +87,7 @@
     let mut confirmed = false;
     let record = record(i);
     loop {
-        let Ok(client) = rpc::connect(&address, None, TIMEOUT).await else {
+        let Ok(client) = rpc::connect_with(&address, None, CONNECT_OPTIONS).await else {
             tokio::time::sleep(Duration::from_millis(300)).await;
             continue;
         };
