A suspended daemon does not take its own suspension for a silence of control

What was seen: a daemon that had been suspended for 1, 2 and 4 s replaced its connection to control each time it resumed (3 of 3), although the connection worked.

Cause: the time since the last received byte includes the suspension, and the decision was made before bytes that had arrived meanwhile were read, or a ping could be answered.

Fix: after a timer that is more than 200 ms late the detector waits one more interval of pings, and a replacement is used only if the connection is still silent once it is open.

--- a/crates/cherrystream-daemon/src/sync/connection.rs
+++ b/crates/cherrystream-daemon/src/sync/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to control, and the detection of those that are silent.
 
 use cherrystream_core::keep_alive::{KeepAlive, Options};
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::activity::Activity;
 use cherrystream_net::rpc::Client;
 use std::sync::Arc;
@@ -17,6 +18,9 @@
     retry_interval: Duration::from_millis(500),
 };
 
+/// Delay of a timer beyond which this process was suspended.
+const MAX_DELAY: Duration = Duration::from_millis(200);
+
 /// An open connection to a control replica.
 pub struct Connection {
     /// RPC address of the replica.
@@ -44,10 +48,28 @@
             if self.keep_alive.should_replace(now, traffic) {
                 return;
             }
-            tokio::time::sleep(self.keep_alive.replace_at(traffic).since(now)).await;
+            self.sleep_until(self.keep_alive.replace_at(traffic)).await;
         }
     }
 
+    /// Waits until a time. If this process was suspended meanwhile, waits on, so that the peer can
+    /// answer a ping.
+    async fn sleep_until(&self, mut due: Timestamp) {
+        loop {
+            tokio::time::sleep(due.since(self.activity.now())).await;
+            let now = self.activity.now();
+            if now.since(due) <= MAX_DELAY {
+                return;
+            }
+            due = now + PING_INTERVAL;
+        }
+    }
+
+    /// Returns whether the connection is silent.
+    pub fn is_silent(&self) -> bool {
+        self.keep_alive.is_silent(self.activity.now(), self.activity.traffic())
+    }
+
     /// Records that no other connection could be opened.
     pub fn on_attempt_failed(&mut self) {
         self.keep_alive.on_attempt_failed(self.activity.now());
--- a/crates/cherrystream-daemon/src/sync/mod.rs
+++ b/crates/cherrystream-daemon/src/sync/mod.rs
@@ -203,7 +203,9 @@
         loop {
             detector.silent().await;
             match self.open_replacement().await {
-                Some(connection) => return connection,
+                Some(connection) if detector.is_silent() => return connection,
+                // After this process was suspended, bytes were waiting to be read.
+                Some(_) => {}
                 None => detector.on_attempt_failed(),
             }
         }
--- a/crates/cherrystream/tests/processes/silent_control.rs
+++ b/crates/cherrystream/tests/processes/silent_control.rs
@@ -333,3 +333,19 @@
     let suspensions = SUSPENSIONS_S.len() * followers.len();
     assert!(left <= suspensions as f64, "the daemon left replicas {left} times");
 }
+
+/// Guards against a daemon that takes its own suspension for a silence of control.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspended_daemon_keeps_its_connection() {
+    let fleet = Fleet::start().await;
+    let before = fleet.left().await;
+    for seconds in [1, 2, 4] {
+        fleet.daemon.process.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_secs(seconds)).await;
+        fleet.daemon.process.signal(Signal::SIGCONT);
+        let took = fleet.change(&format!("change-{seconds}")).await;
+        assert!(took.is_some_and(|took| took <= RECOVERY_TIMEOUT), "{took:?}");
+    }
+    let left = fleet.left().await - before;
+    assert_eq!(left, 0.0, "the daemon left replicas");
+}
