--- a/crates/cherrystream-daemon/src/metrics.rs
+++ b/crates/cherrystream-daemon/src/metrics.rs
@@ -7,6 +7,7 @@
 pub use quotas::QuotaMetrics;
 
 use cherrystream_core::reasons::Reason;
+use cherrystream_net::connection_metrics::ConnectionFamilies;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -121,6 +122,8 @@
     pub bad_reports: Family<ReasonLabel, Counter>,
     /// Crashes of backend servers of this host with requests in flight.
     pub ends_at_work: Counter,
+    /// Connections to control, besides that of the heartbeats.
+    pub connections: ConnectionFamilies,
     /// Suspect requests, by status.
     pub suspects: Family<SuspectLabel, Gauge>,
     /// Suspect requests that were cleared by an answer in isolation at this host.
@@ -165,6 +168,7 @@
             backpressure: BackpressureMetrics::default(),
             bad_reports: Family::default(),
             ends_at_work: Counter::default(),
+            connections: ConnectionFamilies::default(),
             suspects: Family::default(),
             suspects_cleared: Counter::default(),
             suspect_messages: Family::default(),
@@ -181,6 +185,7 @@
             }
         }
         let r = registry.sub_registry_with_prefix("cherrystream");
+        self.connections.register(r.sub_registry_with_prefix("control"));
         r.register("calls", "Answers to callers", self.calls.clone());
         r.register("call_seconds", "Time of answers to callers", self.call_seconds.clone());
         r.register("refusals", "Answers that were no backend server's", self.refusals.clone());
--- a/crates/cherrystream-daemon/src/role.rs
+++ b/crates/cherrystream-daemon/src/role.rs
@@ -45,6 +45,9 @@
 /// 14,000 routes.
 const UPDATE_CACHE_BYTES: u64 = 1 << 20;
 
+/// Label of connections that carry claims on the ledger.
+const LEDGER_TRAFFIC: &str = "ledger";
+
 /// Returns the RPC addresses of the seeds that the settings currently name.
 pub type SeedReader = Arc<dyn Fn() -> Option<Vec<String>> + Send + std::marker::Sync>;
 
@@ -143,7 +146,11 @@
             quotas: quotas.clone(),
             suspects: suspects.clone(),
             signals: Mutex::default(),
-            ledger: Arc::new(LedgerClient::new(&control, cx.key.clone())),
+            ledger: Arc::new(LedgerClient::new(
+                &control,
+                cx.key.clone(),
+                cx.metrics.connections.metrics(LEDGER_TRAFFIC),
+            )),
             newest_peer: newest_peer.clone(),
             retries: RetryOptions {
                 share: settings.retry_share,
