Connections with bytes under way on a slow link are not closed after 5 s

What callers would see: long messages on a link of 85 KB/s (a table to a daemon or replica, a long body) broken off.

Cause: TCP_USER_TIMEOUT of 5 s also ends a connection that probes a closed receive window. The kernel resets that timer only when the window admits the whole next segment, so a receiver that drains slowly is taken for a dead one.

Evidence: net/tests/slow_links (850 KB through a relay at 85 KB/s) failed before: 507,904 and 524,288 of 850,000 bytes arrived, the connection ended after 6 s. It passes without the option. Connections to hosts that are gone are closed by their keep-alives (RPC: the inactivity limit of 20 s; between daemons: HTTP/2 pings), so nothing depends on the option.

--- a/crates/cherrystream-net/src/tcp.rs
+++ b/crates/cherrystream-net/src/tcp.rs
@@ -1,13 +1,8 @@
 //! Options of TCP connections.
 
-use nix::sys::socket::{self, sockopt};
 use std::io;
-use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Time after which the system closes a connection whose sent bytes are not acknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Opens a connection with the options of [`set_options`].
 ///
 /// # Errors
@@ -19,10 +14,9 @@
     Ok(stream)
 }
 
-/// Sends small messages without delay, and bounds the time without acknowledgements.
+/// Sends small messages without delay.
 pub fn set_options(stream: &TcpStream) {
-    // Both options improve latencies only, so a system without them is served too.
+    // The option improves latencies only, so a system without it is served too. There is no
+    // `TCP_USER_TIMEOUT`: it also closes connections whose bytes wait for a slow receiver.
     let _ = stream.set_nodelay(true);
-    let user_timeout = USER_TIMEOUT.as_millis() as u32;
-    let _ = socket::setsockopt(stream, sockopt::TcpUserTimeout, &user_timeout);
 }
