Silent connections to a backend server are found by its health checks, and no repeatable call is lost to them

What callers saw: after connections to a backend server stopped carrying bytes, each idle one cost a request, up to 64; requests in flight were lost; health checks on dead connections marked the live backend server as down, and all requests were refused as backend-server-down.

Cause: only the end of the request on a connection removed it from the pool, and health checks used the same connections and took silence for a failure of the backend server.

Health checks keep a connection of their own. Without a response on it for 200 ms they send a second request, on a new connection and within the budget of the checks. A response there while the other stays silent shows that open connections are silent, and not that the backend server is slow: the idle ones are closed, and requests in flight on reused ones that have taken 8 times as long as usual, at least 500 ms (1 s if nothing is known), end as backend-server-silent. The outbound retries them by the usual rules, outside the retry budget; a header says whether it may, so unrepeatable ones wait. Without a budget for the second request the check says nothing. Instances have no regular checks: a late or cancelled request on a reused connection starts a probe, which compares an idle connection with a new one.

--- a/crates/cherrystream-core/src/reasons.rs
+++ b/crates/cherrystream-core/src/reasons.rs
@@ -153,6 +153,9 @@
     DeadlinePassed = "deadline-passed", Unknown, 504, false;
     /// The connection to the backend server broke after the request was sent.
     BackendServerBroke = "backend-server-broke", Unknown, 502, false;
+    /// Connections to the backend server went silent after the request was sent, while new ones
+    /// work.
+    BackendServerSilent = "backend-server-silent", Unknown, 502, false;
     /// The connection to the other daemon broke after the request was sent.
     PeerBroke = "peer-broke", Unknown, 502, false;
     /// The connection to the other daemon went silent after the request was sent, while new
--- a/crates/cherrystream-core/src/retry.rs
+++ b/crates/cherrystream-core/src/retry.rs
@@ -126,7 +126,7 @@
 /// Returns whether a connection was lost although its other end serves requests. All requests on it
 /// fail at once, more than the budget covers, and say nothing about the load.
 pub const fn is_connection_silent(reason: Reason) -> bool {
-    matches!(reason, Reason::PeerSilent)
+    matches!(reason, Reason::PeerSilent | Reason::BackendServerSilent)
 }
 
 /// Returns whether the second of two failed attempts determines the outcome of the request. A
--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -53,6 +53,8 @@
 pub const SERVER_LEAVING: HeaderName = HeaderName::from_static("cherrystream-server-leaving");
 /// Claim of a non-repeatable request, as JSON.
 pub const CLAIM: HeaderName = HeaderName::from_static("cherrystream-claim");
+/// 1 if a call is sent again once its connection to the backend server is known to be silent.
+pub const RESENDABLE: HeaderName = HeaderName::from_static("cherrystream-resendable");
 /// Requested chunk of an encoded update, as JSON.
 pub const CHUNK: HeaderName = HeaderName::from_static("cherrystream-chunk");
 /// State of an attempt, as JSON.
--- a/crates/cherrystream-daemon/src/health_checks.rs
+++ b/crates/cherrystream-daemon/src/health_checks.rs
@@ -1,14 +1,14 @@
 //! Health checks and probes of the backend servers of this host, within the configured rate.
 
+use crate::health_requests::{self, Failure};
 use crate::inbound::Inbound;
 use crate::local_server::LocalServer;
 use crate::metrics::{Metrics, ServerLabel};
 use cherrystream_core::health::Check;
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::clock::Clock;
-use cherrystream_net::pool::{NoAnswer, Pool};
 use cherrystream_schema::messages::ServerState;
-use http::{Request, Response, StatusCode, header};
+use http::StatusCode;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -54,7 +54,10 @@
             server.tick();
             // An instance of a leaving host receives no requests, so it needs no probes.
             let is_in_service = inbound.check_leaving().is_none();
-            if is_in_service && (server.needs_slowness_probe() || server.start_warmth_probe()) {
+            let needs_probe = server.needs_slowness_probe()
+                || server.start_warmth_probe()
+                || server.needs_connection_probe();
+            if is_in_service && needs_probe {
                 tokio::spawn(probe_health(server, inbound.clone()));
             }
         }
@@ -83,11 +86,20 @@
     if !server.probe_budget.lock().try_spend(cx.clock.now()) {
         return;
     }
-    cx.metrics.measuring.get_or_create(&ServerLabel { server: server.id.name.to_string() }).inc();
-    let result = tokio::time::timeout(CHECK_TIMEOUT, check_state(&server.backend)).await;
+    let label = ServerLabel { server: server.id.name.to_string() };
+    let measured = cx.metrics.measuring.get_or_create_owned(&label);
+    measured.inc();
+    let may_repeat = || {
+        let may = server.probe_budget.lock().try_spend(cx.clock.now());
+        measured.inc_by(u64::from(may));
+        may
+    };
+    let result = tokio::time::timeout(CHECK_TIMEOUT, check_state(&server, may_repeat)).await;
     let check = match result {
         Ok(Ok(state)) => Check::Reported(state),
-        _ => Check::Failed,
+        // It says nothing about the backend server; the next check uses a new connection.
+        Ok(Err(Failure::Inconclusive)) => return,
+        Ok(Err(Failure::NoAnswer)) | Err(_) => Check::Failed,
     };
     server.on_check(check);
 }
@@ -99,7 +111,12 @@
     inbound.metrics.measuring.get_or_create(&label).inc();
     server.on_probe_sent();
     let sent_at = server.now();
-    let response = tokio::time::timeout(CHECK_TIMEOUT, request(&server.backend, &path));
+    let may_repeat = || {
+        inbound.metrics.measuring.get_or_create(&label).inc();
+        true
+    };
+    let response =
+        tokio::time::timeout(CHECK_TIMEOUT, health_requests::send(&server, &path, may_repeat));
     if let Ok(Ok(res)) = response.await {
         let (parts, body) = res.into_parts();
         if let Some(load) = inbound.interface.read_load(&parts) {
@@ -116,31 +133,25 @@
     }
 }
 
-async fn request(backend: &Pool, path: &str) -> Result<Response<Body>, NoAnswer> {
-    let req = Request::get(path)
-        .header(header::HOST, backend.address())
-        .body(body::empty())
-        .map_err(|_| NoAnswer::NotSent)?;
-    let connection = backend.connection().await?;
-    backend.send(connection, req).await
-}
-
-async fn check_state(backend: &Pool) -> Result<ServerState, NoAnswer> {
-    let res = request(backend, HEALTH_PATH).await?;
+async fn check_state(
+    server: &LocalServer,
+    may_repeat: impl Fn() -> bool,
+) -> Result<ServerState, Failure> {
+    let res = health_requests::send(server, HEALTH_PATH, may_repeat).await?;
     let status = res.status();
     read_state(status, res.into_body()).await
 }
 
 /// Reads the state from a response. A success without a readable state is considered live, so that
 /// endpoints that report no state can be used.
-async fn read_state(status: StatusCode, body: Body) -> Result<ServerState, NoAnswer> {
+async fn read_state(status: StatusCode, body: Body) -> Result<ServerState, Failure> {
     let body = match body::read_start(body, MAX_RESPONSE_BYTES).await {
         Ok(Start::Whole(bytes)) => serde_json::from_slice::<HealthBody>(&bytes).ok(),
-        _ => return Err(NoAnswer::Broke),
+        _ => return Err(Failure::NoAnswer),
     };
     match body {
         Some(body) => Ok(body.state),
         None if status.is_success() => Ok(ServerState::Live),
-        None => Err(NoAnswer::Broke),
+        None => Err(Failure::NoAnswer),
     }
 }
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -17,9 +17,13 @@
 use cherrystream_schema::messages::ServerState;
 use http::{Response, response};
 use http_body::Body as _;
+use std::future;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Shortest wait of a cancelled request after which its connection is probed.
+const MIN_SUSPICIOUS_WAIT: Duration = Duration::from_millis(100);
+
 /// A request that was sent to a backend server.
 struct Sent {
     /// Identifier of the call.
@@ -29,6 +33,38 @@
     at_work: InFlightRequest,
 }
 
+/// A response that has not begun.
+struct AwaitedResponse<'a> {
+    server: &'a LocalServer,
+    is_reused: bool,
+    /// On the clock of the pool.
+    sent_at: Timestamp,
+    has_ended: bool,
+}
+
+impl AwaitedResponse<'_> {
+    fn new(server: &LocalServer, is_reused: bool) -> AwaitedResponse<'_> {
+        AwaitedResponse { server, is_reused, sent_at: server.backend.now(), has_ended: false }
+    }
+
+    /// Waits until the request is considered lost on a silent connection.
+    async fn lost(&self, kind: &str) {
+        match self.is_reused {
+            true => self.server.lost(kind, self.sent_at).await,
+            false => future::pending().await,
+        }
+    }
+}
+
+impl Drop for AwaitedResponse<'_> {
+    fn drop(&mut self) {
+        let waited = self.server.backend.now().since(self.sent_at);
+        if !self.has_ended && self.is_reused && waited >= MIN_SUSPICIOUS_WAIT {
+            self.server.suspect_connections();
+        }
+    }
+}
+
 impl Inbound {
     /// Sends the request and returns the answer. The slot is occupied until the end of the answer.
     pub(super) async fn exchange(
@@ -61,8 +97,17 @@
         permit.sent();
         let sent_at = self.clock.now();
         let at_work = InFlightRequest::begin(&self.suspects, server, call.identity, place);
-        let sending = server.backend.send(connection, req);
-        let res = match tokio::time::timeout(remaining, sending).await {
+        let mut awaited = AwaitedResponse::new(server, connection.is_reused());
+        let sending = tokio::time::timeout(remaining, server.backend.send(connection, req));
+        let sent = tokio::select! {
+            biased;
+            sent = sending => sent,
+            () = awaited.lost(&call.kind), if call.is_resendable => {
+                return Err(self.refuse(Reason::BackendServerSilent));
+            }
+        };
+        awaited.has_ended = true;
+        let res = match sent {
             Ok(Ok(res)) => res,
             Ok(Err(NoAnswer::NotSent)) => {
                 at_work.discard();
--- a/crates/cherrystream-daemon/src/inbound/mod.rs
+++ b/crates/cherrystream-daemon/src/inbound/mod.rs
@@ -64,6 +64,8 @@
     pub identity: Identity,
     /// Whether it was sent here to run in isolation.
     pub alone: bool,
+    /// Whether the sender sends it again if it fails because its connection is silent.
+    pub is_resendable: bool,
     /// Identifier of the call.
     pub call: String,
     /// Request key and claim, if the request may not be repeated.
--- a/crates/cherrystream-daemon/src/lib.rs
+++ b/crates/cherrystream-daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod errors;
 pub mod headers;
 pub mod health_checks;
+mod health_requests;
 pub mod hop;
 pub mod inbound;
 pub mod instances;
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -32,6 +32,16 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// Shortest time after which a request without a response is considered lost.
+const MIN_LOSS_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same time for a kind whose usual service time is not known.
+const DEFAULT_LOSS_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same time as a multiple of the usual service time.
+const MAX_SLOWDOWN: u32 = 8;
+
+/// Shortest time between two probes that find out whether connections are silent.
+const CONNECTION_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
 type Waiter = oneshot::Sender<Result<Permit, Refusal>>;
 
 /// Identifies a backend server.
@@ -64,6 +74,10 @@
     leaving_grace: Duration,
     /// Pool of connections to the backend server.
     pub backend: Pool,
+    /// The connection of its health checks. No request uses it, so that it is there to compare with
+    /// a new one.
+    pub checks: Pool,
+    connection_state: Mutex<ConnectionState>,
     /// Rate limit of its health checks.
     pub probe_budget: Mutex<ProbeBudget>,
     clock: Clock,
@@ -72,6 +86,17 @@
     inner: Mutex<Inner>,
 }
 
+/// What is known of the open connections.
+#[derive(Default)]
+struct ConnectionState {
+    /// Whether a request on one of them got no response for long.
+    is_suspected: bool,
+    /// Whether a health request got no response on one of them.
+    is_silent: bool,
+    /// When the last probe because of a suspicion was sent.
+    probed_at: Timestamp,
+}
+
 struct Inner {
     admission: Admission,
     waiters: HashMap<Ticket, Waiter>,
@@ -119,7 +144,9 @@
             born_ms: 0,
             is_registered: false,
             leaving_grace: Duration::ZERO,
+            checks: backend.for_same_address(),
             backend,
+            connection_state: Mutex::default(),
             probe_budget,
             clock,
             crash_detector,
@@ -127,6 +154,43 @@
         }
     }
 
+    /// Waits until a request that was sent on a reused connection is considered lost: it takes far
+    /// longer than usual, and connections that were in use then have gone silent. `sent_at` is on
+    /// the clock of the pool.
+    pub async fn lost(&self, kind: &str, sent_at: Timestamp) {
+        let typical = self.inner.lock().service_times.typical(kind);
+        tokio::time::sleep(loss_timeout(typical)).await;
+        self.suspect_connections();
+        self.backend.distrusted(sent_at).await;
+    }
+
+    /// Records that a request on a reused connection got no response for long.
+    pub fn suspect_connections(&self) {
+        self.connection_state.lock().is_suspected = true;
+    }
+
+    /// Returns whether a probe has to find out if connections are silent; not again for a while.
+    pub fn needs_connection_probe(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.connection_state.lock();
+        let is_due = now.since(state.probed_at) >= CONNECTION_PROBE_INTERVAL;
+        let needs = is_due && std::mem::take(&mut state.is_suspected);
+        if needs {
+            state.probed_at = now;
+        }
+        needs
+    }
+
+    /// Records whether a health request got no response on a connection that was used before.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.connection_state.lock().is_silent = is_silent;
+    }
+
+    /// Returns whether connections may be silent, as far as health requests found out.
+    pub fn is_silent(&self) -> bool {
+        self.connection_state.lock().is_silent
+    }
+
     /// Returns the current time of its clock.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
@@ -538,6 +602,12 @@
     }
 }
 
+/// Returns how long a request without a response is not considered lost. A backend server that is
+/// several times as slow as usual answers within it.
+fn loss_timeout(typical: Option<Duration>) -> Duration {
+    typical.map_or(DEFAULT_LOSS_TIMEOUT, |typical| typical * MAX_SLOWDOWN).max(MIN_LOSS_TIMEOUT)
+}
+
 /// A request that was not refused on arrival.
 enum Arrived {
     Admitted(Permit),
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -147,6 +147,7 @@
             reservation: permits.reservation,
             identity: call.identity,
             alone: call.alone,
+            is_resendable: call.is_repeatable_after_silence(),
             call: call.id.clone(),
             claimed: claimed.map(|(claimed, key)| (key, claimed)),
             hint: self.signal_hint(call, server),
@@ -166,11 +167,15 @@
         };
         let mut req = self.build_request(call)?;
         self.set_peer_headers(req.headers_mut(), Op::Call, call, server, permits);
+        let is_resendable = call.is_repeatable_after_silence();
+        if is_resendable {
+            headers::set_static(req.headers_mut(), headers::RESENDABLE, "1");
+        }
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
         let connection = self.connect(call, &record.peer_address).await?;
         self.metrics.peer_calls.inc();
-        if !call.is_repeatable_after_silence() {
+        if !is_resendable {
             return self.exchange(call, server, &record.peer_address, connection, req).await;
         }
         let replaced = connection.replaced();
--- a/crates/cherrystream-daemon/src/peer_server.rs
+++ b/crates/cherrystream-daemon/src/peer_server.rs
@@ -131,6 +131,7 @@
         let caller_fingerprint =
             CallerFingerprint::new(&self.fingerprints, aim.workspace, aim.caller);
         let claimed = read_claim(map, &service);
+        let is_resendable = map.contains_key(headers::RESENDABLE);
         headers::remove_own(&mut parts.headers);
         headers::set(&mut parts.headers, headers::ALLOWANCE, head.allowance);
         // HTTP/2 carries the host name in the target; HTTP/1.1 requires a header.
@@ -157,6 +158,7 @@
                 caller: caller_fingerprint,
             },
             alone: head.alone,
+            is_resendable,
             call: head.call,
             claimed,
             hint,
--- a/crates/cherrystream-daemon/src/refusal.rs
+++ b/crates/cherrystream-daemon/src/refusal.rs
@@ -81,6 +81,7 @@
         Reason::EarlierUnknown => "it may have run; ask the service before a new request",
         Reason::DeadlinePassed
         | Reason::BackendServerBroke
+        | Reason::BackendServerSilent
         | Reason::PeerBroke
         | Reason::PeerSilent
         | Reason::HostEnded
--- a/crates/cherrystream-daemon/tests/successors.rs
+++ b/crates/cherrystream-daemon/tests/successors.rs
@@ -80,6 +80,7 @@
         reservation: None,
         identity: Identity { request: Fingerprint(1), caller: CallerFingerprint(1) },
         alone: false,
+        is_resendable: false,
         call: "call-1".into(),
         claimed: None,
         hint: None,
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Header in which a server announces how long it keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -69,6 +70,8 @@
     /// Header that carries the identifier of a request in its response.
     id: Option<HeaderName>,
     idle: Arc<Mutex<Vec<Idle>>>,
+    /// Time before which its connections went silent, as far as is known.
+    distrusted_before: watch::Sender<Timestamp>,
     connects: Counter,
     clock: Clock,
 }
@@ -77,7 +80,8 @@
     /// Creates an empty pool. `connects` counts the connections that it opens.
     pub fn new(address: &str, connects: Counter) -> Pool {
         let (idle, clock) = (Arc::default(), Clock::default());
-        Pool { address: address.into(), id: None, idle, connects, clock }
+        let distrusted_before = watch::Sender::new(Timestamp::default());
+        Pool { address: address.into(), id: None, idle, distrusted_before, connects, clock }
     }
 
     /// Sets the header that carries the identifier of a request in its response. Enables discarding
@@ -91,6 +95,12 @@
         Pool { clock, ..self }
     }
 
+    /// Returns an empty pool for the same address, on the same clock.
+    pub fn for_same_address(&self) -> Pool {
+        let pool = Pool::new(&self.address, self.connects.clone()).with_clock(self.clock);
+        Pool { id: self.id.clone(), ..pool }
+    }
+
     /// Returns the address that the connections lead to.
     pub fn address(&self) -> &str {
         &self.address
@@ -102,15 +112,40 @@
     ///
     /// Fails if no connection can be opened.
     pub async fn connection(&self) -> Result<Connection, NoAnswer> {
-        if let Some(Idle { sender, exchanges, .. }) = self.take_idle() {
-            return Ok(Connection {
-                sender,
-                exchanges,
-                idle: self.idle.clone(),
-                clock: self.clock,
-            });
+        match self.idle_connection() {
+            Some(connection) => Ok(connection),
+            None => self.connect().await,
         }
-        self.connect().await
+    }
+
+    /// Returns an idle connection, if there is one.
+    pub fn idle_connection(&self) -> Option<Connection> {
+        let Idle { sender, exchanges, .. } = self.take_idle()?;
+        let (idle, clock) = (self.idle.clone(), self.clock);
+        Some(Connection { sender, exchanges, idle, clock, is_reused: true })
+    }
+
+    /// Returns the current time on the clock of the pool.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Closes the idle connections that were last used before a time, because connections have gone
+    /// silent since, while new ones work.
+    pub fn distrust(&self, before: Timestamp) {
+        self.idle.lock().retain(|idle| idle.since >= before);
+        self.distrusted_before.send_if_modified(|known| {
+            let is_later = before > *known;
+            *known = before.max(*known);
+            is_later
+        });
+    }
+
+    /// Waits until the connections that were in use at a time are distrusted.
+    pub async fn distrusted(&self, in_use_at: Timestamp) {
+        let mut before = self.distrusted_before.subscribe();
+        // The wait cannot fail, since this value owns the sender.
+        let _ = before.wait_for(|before| *before > in_use_at).await;
     }
 
     /// Opens a connection without sending anything, and returns what happens to it.
@@ -128,7 +163,12 @@
         }
     }
 
-    async fn connect(&self) -> Result<Connection, NoAnswer> {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn connect(&self) -> Result<Connection, NoAnswer> {
         let stream = TcpStream::connect(&self.address).await.map_err(|_| NoAnswer::NotSent)?;
         let _ = stream.set_nodelay(true);
         let exchanges = Exchanges::new(self.id.clone());
@@ -136,7 +176,8 @@
         let (sender, connection) = http1::handshake(io).await.map_err(|_| NoAnswer::NotSent)?;
         tokio::spawn(connection);
         self.connects.inc();
-        Ok(Connection { sender, exchanges, idle: self.idle.clone(), clock: self.clock })
+        let (idle, clock) = (self.idle.clone(), self.clock);
+        Ok(Connection { sender, exchanges, idle, clock, is_reused: false })
     }
 
     /// Sends a request on a connection.
@@ -180,13 +221,19 @@
     exchanges: Arc<Mutex<Exchanges>>,
     idle: Arc<Mutex<Vec<Idle>>>,
     clock: Clock,
+    is_reused: bool,
 }
 
 impl Connection {
+    /// Returns whether the connection was used before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the connection to the pool once the response body is read to its end.
     fn watch(self, res: Response<hyper::body::Incoming>) -> Response<Body> {
         let (parts, incoming) = res.into_parts();
-        let Connection { sender, exchanges, idle, clock } = self;
+        let Connection { sender, exchanges, idle, clock, .. } = self;
         let timeout = idle_timeout(&parts.headers);
         let body = Watched::watch(body::incoming(incoming), move |ending| {
             let mut idle = idle.lock();
--- a/crates/cherrystream/tests/processes/silent_calls.rs
+++ b/crates/cherrystream/tests/processes/silent_calls.rs
@@ -4,6 +4,7 @@
 use super::support::client::{self, Ask};
 use super::support::relay::{Relay, Silenced};
 use super::support::site::{Daemon, DaemonOptions, Server, Site};
+use nix::sys::signal::Signal;
 use serde_json::json;
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
@@ -28,21 +29,26 @@
 enum Line {
     /// Between the caller's daemon and that of the only backend server.
     Peer,
+    /// Between the caller's daemon and the only backend server, on its host.
+    Server,
 }
 
 struct Calls {
     caller: Daemon,
     relay: Relay,
-    _server: Server,
+    server: Server,
+    /// Its own address, without the relay.
+    server_address: String,
     _other: Option<Daemon>,
-    _site: Site,
+    site: Site,
 }
 
 impl Calls {
     async fn start(line: Line) -> Calls {
         let site = Site::with_control(1).await;
         let caller = site.start_daemon("host-a", "a", 1);
-        let server = site.start_server("quotes", &["--slots", &SLOTS.to_string()]);
+        let mut server = site.start_server("quotes", &["--slots", &SLOTS.to_string()]);
+        let server_address = server.address.clone();
         site.put_service("quotes").await;
         let (relay, other) = match line {
             Line::Peer => {
@@ -52,6 +58,11 @@
                 let other = site.start_daemon_with("host-b", "b", 2, &opts);
                 (relay, Some(other))
             }
+            Line::Server => {
+                let relay = Relay::start(&site.address(7698), &server.address).await;
+                server.address = relay.address.clone();
+                (relay, None)
+            }
         };
         let host = if other.is_some() { "host-b" } else { "host-a" };
         site.accept(json!({
@@ -62,7 +73,7 @@
         let daemons: Vec<&Daemon> = [&caller].into_iter().chain(&other).collect();
         site.in_force(&daemons).await;
         caller.serves("quotes").await;
-        Calls { caller, relay, _server: server, _other: other, _site: site }
+        Calls { caller, relay, server, server_address, _other: other, site }
     }
 }
 
@@ -147,3 +158,99 @@
 async fn repeatable_calls_survive_a_silent_connection_between_daemons() {
     check(Line::Peer).await;
 }
+
+/// Guards against losing repeatable calls to dead connections to a backend server.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeatable_calls_survive_silent_connections_to_a_backend_server() {
+    check(Line::Server).await;
+}
+
+/// Idle connections to a backend server: as many as a pool keeps.
+const IDLE_CONNECTIONS: usize = 64;
+/// Time in which health checks find out that connections have gone silent: the interval of the
+/// checks, the timeout on a used connection, and the check on a new one, twice.
+const CHECKED_WITHIN: Duration = Duration::from_millis(1_500);
+/// Service time in milliseconds of a call that leaves a connection idle.
+const FILLING_MS: u64 = 200;
+
+/// Sends calls at the same time; returns the reasons of those that were not answered.
+async fn call_at_once(daemon: &Daemon, calls: usize, ask: impl Fn(usize) -> Ask) -> Vec<String> {
+    let mut sending = JoinSet::new();
+    for n in 0..calls {
+        let (address, ask) = (daemon.caller.clone(), ask(n));
+        sending.spawn(async move {
+            let sent = tokio::time::timeout(Duration::from_secs(2), client::send(&address, &ask));
+            match sent.await {
+                Ok(Some(answer)) if answer.outcome() == "answered" => None,
+                Ok(answer) => Some(answer.map_or("closed".into(), |a| a.reason().to_string())),
+                Err(_) => Some("left".into()),
+            }
+        });
+    }
+    sending.join_all().await.into_iter().flatten().collect()
+}
+
+fn work(work_ms: u64) -> Ask {
+    Ask::get(&format!("/work?work_ms={work_ms}")).service("quotes")
+}
+
+/// Guards against idle connections that died, each of which costs an unrepeatable request, and
+/// against health checks that take a live backend server for a dead one because of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_that_went_silent_cost_no_unrepeatable_request() {
+    for silenced in [Silenced::Both, Silenced::There, Silenced::Back] {
+        let calls = Calls::start(Line::Server).await;
+        calls.site.put_once("quotes").await;
+        calls.site.in_force(&[&calls.caller]).await;
+        let lost = call_at_once(&calls.caller, IDLE_CONNECTIONS, |_| work(FILLING_MS)).await;
+        assert_eq!(lost, Vec::<String>::new());
+        calls.relay.silence(silenced);
+        tokio::time::sleep(CHECKED_WITHIN).await;
+        let order = |n| {
+            let key = format!("{silenced:?}-{n}");
+            Ask::post("/orders?work_ms=1", "").service("quotes").key(&key)
+        };
+        let lost = call_at_once(&calls.caller, IDLE_CONNECTIONS, order).await;
+        println!("{silenced:?}: {} of {IDLE_CONNECTIONS} lost", lost.len());
+        assert_eq!(lost, Vec::<String>::new(), "{silenced:?}");
+    }
+}
+
+/// Guards against sending requests twice because their backend server is slow or suspended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_or_suspended_backend_server_receives_no_request_twice() {
+    let calls = Calls::start(Line::Server).await;
+    for _ in 0..2 {
+        let lost = call_at_once(&calls.caller, IDLE_CONNECTIONS, |_| work(FILLING_MS)).await;
+        assert_eq!(lost, Vec::<String>::new());
+    }
+    let before = client::counts(&calls.server_address).await.runs;
+    let lost = call_at_once(&calls.caller, CALLERS, |_| work(4 * FILLING_MS)).await;
+    assert_eq!(lost, Vec::<String>::new());
+    let suspended = call_at_once(&calls.caller, CALLERS, |_| work(FILLING_MS));
+    let suspend = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        calls.server.process.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        calls.server.process.signal(Signal::SIGCONT);
+    };
+    let (lost, ()) = tokio::join!(suspended, suspend);
+    assert_eq!(lost, Vec::<String>::new());
+    let runs = client::counts(&calls.server_address).await.runs - before;
+    assert_eq!(runs, 2 * CALLERS as u64);
+}
+
+/// Guards against health checks on dead connections that mark a live backend server as down.
+#[tokio::test(flavor = "multi_thread")]
+async fn checks_on_silent_connections_do_not_mark_a_backend_server_as_down() {
+    let calls = Calls::start(Line::Server).await;
+    let lost = call_at_once(&calls.caller, IDLE_CONNECTIONS, |_| work(FILLING_MS)).await;
+    assert_eq!(lost, Vec::<String>::new());
+    calls.relay.silence(Silenced::Both);
+    let patience = Duration::from_millis(100);
+    let ends = call_until(calls.caller.caller.clone(), patience, Instant::now() + AFTER).await;
+    let refused: Vec<_> =
+        ends.iter().filter(|ended| matches!(ended.end, End::Refused(_))).collect();
+    println!("{} of {} refused", refused.len(), ends.len());
+    assert!(refused.is_empty(), "{:?}", refused[0].end);
+}
