Slow links on which long bodies are sent are not taken for silent ones

What callers saw: calls with bodies of 400 KB each way at 85 KB/s failed now and then as broken, and were sent again.

Cause: bytes received from a peer were taken as proof that the bytes written before had arrived. They may still be queued in the system and on the link, so that a ping behind them had 500 ms for what takes up to 1.5 s.

As long as a write had to wait lately (4 s), 128 KB count as written since the last received byte, which extends the limit to 2.5 s of silence. TCP_NOTSENT_LOWAT is 32 KB, so that a ping waits behind less than that at 85 KB/s. A write that is accepted no longer counts as a received byte: with the answers alone silent, it postponed the replacement.

--- a/crates/cherrystream-daemon/src/peer/monitor.rs
+++ b/crates/cherrystream-daemon/src/peer/monitor.rs
@@ -52,7 +52,7 @@
             loop {
                 let activity = &channel.activity;
                 let now = activity.now();
-                match keep_alive.next(now, activity.progress(), channel.has_calls()) {
+                match keep_alive.next(now, activity.traffic_with_queue(), channel.has_calls()) {
                     Step::Idle => channel.called().await,
                     Step::Wait(at) => tokio::time::sleep(at.since(now)).await,
                     Step::Probe => send_probe(&peer, &channel),
@@ -87,7 +87,7 @@
 /// whether it did; the silent connection is kept otherwise.
 async fn replace(peer: &Weak<Peer>, channel: &Arc<Channel>) -> bool {
     let Some(peer) = peer.upgrade() else { return false };
-    let before = channel.activity.progress().last_received;
+    let before = channel.activity.traffic_with_queue().last_received;
     let opening = async {
         let opened = super::connect(&peer.address).await?;
         wait_for_first_byte(&opened.channel.activity).await;
@@ -95,7 +95,7 @@
     };
     let opened = tokio::time::timeout(REPLACE_TIMEOUT, opening).await;
     let Some(opened) = opened.ok().flatten() else { return false };
-    let is_silent = channel.activity.progress().last_received == before;
+    let is_silent = channel.activity.traffic_with_queue().last_received == before;
     is_silent && install(&peer, channel, opened)
 }
 
--- a/crates/cherrystream-daemon/tests/silent_peers.rs
+++ b/crates/cherrystream-daemon/tests/silent_peers.rs
@@ -200,3 +200,22 @@
     }
     assert_eq!(pair.connects(), 1);
 }
+
+/// Guards against waiting for a dead connection for long because bytes were under way on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_goes_silent_while_a_long_body_is_sent_is_replaced_in_time() {
+    for silenced in [Silenced::Both, Silenced::There, Silenced::Back] {
+        let pair = Arc::new(Pair::start().await);
+        pair.relay.set(Mode::Rate(SLOW_LINK));
+        let long = tokio::spawn({
+            let pair = pair.clone();
+            async move { pair.call(0, LONG_BODY).await }
+        });
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        pair.relay.silence(silenced);
+        let took = first_answer(&pair, Duration::from_millis(300)).await;
+        println!("{silenced:?}: {took:?}");
+        assert!(took.is_some_and(|took| took < RECOVERY_TIMEOUT), "{silenced:?}: {took:?}");
+        long.abort();
+    }
+}
--- a/crates/cherrystream-net/src/activity.rs
+++ b/crates/cherrystream-net/src/activity.rs
@@ -12,6 +12,12 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Written bytes that may not have reached the peer after a write had to wait: unsent ones, and
+/// those in the buffers of a slow link.
+const MAX_QUEUED_BYTES: u64 = 128 * 1024;
+/// Longest time until these bytes have reached the peer.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(4);
+
 /// Activity of a connection, shared between its stream and its owner.
 #[derive(Debug)]
 pub struct Activity {
@@ -60,12 +66,17 @@
         }
     }
 
-    /// Like [`Activity::traffic`], but a write that had to wait for earlier bytes to be sent counts
-    /// as a received byte, since a long body is under way.
-    pub fn progress(&self) -> Traffic {
+    /// Like [`Activity::traffic`], for a connection on which long bodies are sent. As long as bytes
+    /// may be queued on a slow link, they count as written since the last received byte: bytes that
+    /// the peer sent do not show that it has received them.
+    pub fn traffic_with_queue(&self) -> Traffic {
         let traffic = self.traffic();
         let last_unblocked = Timestamp(self.last_unblocked.load(Ordering::Relaxed));
-        Traffic { last_received: traffic.last_received.max(last_unblocked), ..traffic }
+        let has_blocked = last_unblocked > Timestamp::default();
+        let has_queue = self.is_write_blocked.load(Ordering::Relaxed)
+            || (has_blocked && self.now().since(last_unblocked) < MAX_DRAIN_TIME);
+        let queued = if has_queue { MAX_QUEUED_BYTES } else { 0 };
+        Traffic { written_since: traffic.written_since.max(queued), ..traffic }
     }
 
     /// Returns whether a byte was received.
--- a/crates/cherrystream-net/src/tcp.rs
+++ b/crates/cherrystream-net/src/tcp.rs
@@ -6,7 +6,7 @@
 
 /// Written bytes that the system holds back before it sends them. More would hide from their writer
 /// whether bytes are sent, and delay the pings behind them on a slow link.
-const MAX_UNSENT_BYTES: u32 = 64 * 1024;
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
 
 /// Opens a connection with the options of [`set_options`].
 ///
