--- a/crates/cherrystream-net/src/activity.rs
+++ b/crates/cherrystream-net/src/activity.rs
@@ -1,11 +1,12 @@
 //! Observes the traffic of a connection, and aborts the connection.
 
 use crate::clock::Clock;
+use cherrystream_core::demand_keep_alive::Progress;
 use cherrystream_core::keep_alive::Traffic;
 use cherrystream_core::units::Timestamp;
 use futures_util::task::AtomicWaker;
 use parking_lot::Mutex;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
@@ -13,12 +14,19 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Written bytes that may not have reached the peer after a write had to wait: unsent ones, and
+/// those in the buffers of a slow link.
+const MAX_QUEUED_BYTES: u64 = 128 * 1024;
+/// Longest time until these bytes have reached the peer.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(4);
+
 /// Activity of a connection, shared between its stream and its owner.
 #[derive(Debug)]
 pub struct Activity {
     clock: Clock,
     opened: Timestamp,
     traffic: Mutex<Traffic>,
+    writes: Mutex<Writes>,
     aborted: AtomicBool,
     reader: AtomicWaker,
     writer: AtomicWaker,
@@ -33,6 +41,7 @@
             clock,
             opened,
             traffic: Mutex::new(Traffic::new(opened)),
+            writes: Mutex::default(),
             aborted: AtomicBool::new(false),
             reader: AtomicWaker::new(),
             writer: AtomicWaker::new(),
@@ -49,6 +58,19 @@
         *self.traffic.lock()
     }
 
+    /// Returns the progress of a connection on which long bodies are sent. As long as bytes may be
+    /// queued on a slow link, they count as written since the last received byte: bytes that the
+    /// peer sent do not show that it has received them.
+    pub fn progress(&self) -> Progress {
+        let written_since = self.writes.lock().unanswered(self.clock.now());
+        Progress { last_received: self.traffic().last_received(), written_since }
+    }
+
+    /// Returns whether a byte was received.
+    pub fn has_received(&self) -> bool {
+        self.traffic().last_received() > self.opened
+    }
+
     /// Returns the time since the last received byte.
     pub fn silence(&self) -> Duration {
         self.clock.now().since(self.traffic().last_received())
@@ -68,10 +90,12 @@
 
     fn on_received(&self) {
         self.traffic.lock().on_received(self.clock.now());
+        self.writes.lock().written_since = 0;
     }
 
     fn on_write(&self, polled: &Poll<io::Result<usize>>) {
         let now = self.clock.now();
+        self.writes.lock().on_write(now, polled);
         match polled {
             Poll::Ready(Ok(written)) => self.traffic.lock().on_written(now, *written),
             Poll::Ready(Err(_)) => {}
@@ -111,6 +135,37 @@
     }
 }
 
+/// Writes to a connection.
+#[derive(Debug, Default)]
+struct Writes {
+    /// Bytes written since the last received byte.
+    written_since: u64,
+    /// Whether the last write had to wait until earlier bytes were sent.
+    is_blocked: bool,
+    /// When such a wait last ended.
+    last_unblocked: Option<Timestamp>,
+}
+
+impl Writes {
+    fn on_write(&mut self, now: Timestamp, polled: &Poll<io::Result<usize>>) {
+        let Poll::Ready(written) = polled else {
+            self.is_blocked = true;
+            return;
+        };
+        self.written_since += written.as_ref().map_or(0, |bytes| *bytes as u64);
+        if std::mem::take(&mut self.is_blocked) {
+            self.last_unblocked = Some(now);
+        }
+    }
+
+    /// Returns the bytes that the peer may not have received.
+    fn unanswered(&self, now: Timestamp) -> u64 {
+        let is_draining = self.last_unblocked.is_some_and(|at| now.since(at) < MAX_DRAIN_TIME);
+        let queued = if self.is_blocked || is_draining { MAX_QUEUED_BYTES } else { 0 };
+        self.written_since.max(queued)
+    }
+}
+
 /// A stream whose activity is observed.
 #[derive(Debug)]
 pub struct Observed<S> {
@@ -162,4 +217,18 @@
         self.activity.check(&self.activity.writer, cx)?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.activity.check(&self.activity.writer, cx)?;
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.on_write(&polled);
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
 }
--- a/crates/cherrystream-net/src/tcp.rs
+++ b/crates/cherrystream-net/src/tcp.rs
@@ -1,6 +1,7 @@
 //! Options of TCP connections.
 
 use nix::sys::socket::{self, sockopt};
+use socket2::SockRef;
 use std::io;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -13,16 +14,22 @@
 pub const PROBE_IDLE: Duration = Duration::from_secs(30);
 /// Time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Written bytes that the system holds back before it sends them. More would hide from their writer
+/// whether bytes are sent, and delay the pings behind them on a slow link.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
 
-/// Opens a connection that sends small messages without delay.
+/// Opens a connection that sends small messages without delay, and bounds the bytes that wait in the
+/// system.
 ///
 /// # Errors
 ///
 /// Fails if the address is unreachable.
 pub async fn connect(address: &str) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
-    // The option improves latencies only, so a system without it is served too.
+    // The options improve latencies only, so a system without them is served too. There is no
+    // `TCP_USER_TIMEOUT`: it also closes connections whose bytes wait for a slow receiver.
     let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     Ok(stream)
 }
 
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -19,6 +19,7 @@
 mod places;
 mod rollouts;
 mod silence;
+mod silent_calls;
 mod silent_control;
 mod silent_operator;
 // Shared with the soak test, which uses more of it.
