The relay of the tests is tested on connections that it silences

The tests of silent connections are worth as much as the relay that causes them: a relay that passes on the end of a silenced connection, or that disturbs new ones, would let a process pass that detects nothing, or fail one that does. Checked are both directions, each alone, new connections, ends, and silences one after the other.

--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -16,6 +16,7 @@
 mod path;
 mod peers;
 mod places;
+mod relay;
 mod rollouts;
 mod silence;
 // Shared with the soak test, which uses more of it.
