The soak silences open connections for good, on every link

Callers of control had no answer for good after open connections between replicas went silent, and no test drew that: the relays of the soak held, delayed or closed connections, old and new alike.

The soak now draws silences of open connections, both ways and one way: between replicas (one link, or all at once), daemon to control, to daemon and to backend server, callers to daemons and operators to replicas. They come in series beside the other faults, from a generator of their own, so that a seed keeps its other faults, and once more after all other faults, beside the last table. Probes with a patience of 0.3, 1 and 5 s check that each replica answers reads and intents, and each daemon requests, 3 s after the last silence of a series that no other fault overlaps. No request that may be repeated may fail where only silences disturb it.

No check is removed. The check of answers lost in a planned stop excuses requests beside a silence of a daemon's links for 3 s, as it does beside the other faults of links; runs with planned stops only have no such silence.

--- a/crates/cherrystream/tests/soak/cluster.rs
+++ b/crates/cherrystream/tests/soak/cluster.rs
@@ -6,7 +6,7 @@
 use crate::plan::{Fault, Hosts, Link, ProcessFault, Size};
 use crate::support::client;
 use crate::support::process::Process;
-use crate::support::relay::{Line, Mode, Relay};
+use crate::support::relay::{Line, Mode, Relay, Silenced};
 use crate::support::site::{Daemon, DaemonOptions, Server, Site};
 use crate::tables::Operator;
 use crate::watchers::WatchedDaemon;
@@ -55,9 +55,16 @@
 /// Delay before a crashed backend server is restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 
-/// Periods with disruptive faults.
+/// Open connections that went silent.
+#[derive(Clone, Debug)]
+pub struct Silence {
+    pub at: Instant,
+    pub links: Vec<Link>,
+}
+
+/// Periods with faults of some kinds.
 #[derive(Debug, Default)]
-struct Disruptions {
+pub struct Disruptions {
     active: usize,
     periods: Vec<(Instant, Option<Instant>)>,
 }
@@ -76,6 +83,13 @@
             *until = Some(Instant::now());
         }
     }
+
+    /// Returns whether a fault overlaps a period, or has ended shortly before it.
+    pub fn overlap(&self, from: Instant, until: Instant) -> bool {
+        self.periods.iter().any(|(began, ended)| {
+            *began <= until && ended.is_none_or(|ended| ended + RECOVERY_TIME >= from)
+        })
+    }
 }
 
 /// The processes of one run.
@@ -102,6 +116,12 @@
     /// Periods from a daemon's planned stop to its restart.
     pub stops: Vec<Interruption>,
     disruptions: Disruptions,
+    /// Periods with faults of control other than silences.
+    pub control_faults: Disruptions,
+    /// Periods with faults other than silences by which requests may fail.
+    pub request_faults: Disruptions,
+    /// Silences of open connections, in their order.
+    pub silences: Vec<Silence>,
     /// Number of backend servers that a request has crashed.
     pub crashes: usize,
     /// Crashed backend servers, and when the crash was noticed.
@@ -129,6 +149,9 @@
             kills: Vec::new(),
             stops: Vec::new(),
             disruptions: Disruptions::default(),
+            control_faults: Disruptions::default(),
+            request_faults: Disruptions::default(),
+            silences: Vec::new(),
             crashes: 0,
             crashed_since: BTreeMap::new(),
             unexpected_exits: Vec::new(),
@@ -156,6 +179,11 @@
         (1..=size.controls).map(|replica| self.site.api(replica)).collect()
     }
 
+    /// Returns the address of the relay of a link to one address.
+    pub fn relayed(&self, link: Link) -> &str {
+        &self.relays[&link][0].address
+    }
+
     /// Returns the daemons for observers.
     pub fn watched(&self) -> Vec<WatchedDaemon> {
         let daemons = self.daemons.iter().zip(&self.restarts).enumerate();
@@ -179,6 +207,7 @@
             }
         }
         for replica in 1..=size.controls {
+            self.relay(Link::Operator(replica), &self.site.api(replica)).await;
             self.site.start_control(replica);
         }
         self.site.leader().await;
@@ -211,6 +240,7 @@
         server.address = self.relay(Link::Server(i), &direct).await;
         self.site.put_server("quotes", &name, &host, &server).await;
         server.address = direct;
+        self.relay(Link::Caller(i), &daemon.caller).await;
         self.daemons.push(daemon);
         self.servers.push(server);
         self.restarts.push(Arc::default());
@@ -259,15 +289,18 @@
         match link {
             Link::Peer(i) => self.lines.entry(i).or_default().clone(),
             Link::Sync(i) => self.lines.entry(i).or_default().reversed(),
-            Link::Server(_) | Link::Control(..) => Line::default(),
+            Link::Server(_) | Link::Control(..) | Link::Caller(_) | Link::Operator(_) => {
+                Line::default()
+            }
         }
     }
 
     /// Returns the mode of a link's relays without a fault. Links to backend servers have no rate
-    /// limit, because the servers run on their daemon's host.
+    /// limit, because the servers run on their daemon's host, and neither have those of callers and
+    /// operators.
     fn default_mode(&self, link: Link) -> Mode {
         match (link, self.hosts.link_rate) {
-            (Link::Server(_), _) | (_, None) => Mode::Pass,
+            (Link::Server(_) | Link::Caller(_) | Link::Operator(_), _) | (_, None) => Mode::Pass,
             (_, Some(rate)) => Mode::Rate(rate),
         }
     }
@@ -281,6 +314,12 @@
         if fault.is_disruptive() {
             self.disruptions.begin();
         }
+        if fault.affects_control() {
+            self.control_faults.begin();
+        }
+        if fault.affects_requests() {
+            self.request_faults.begin();
+        }
         match fault {
             Fault::Daemon(i, process_fault) => self.disturb_daemon(*i, *process_fault),
             Fault::Control(replica, process_fault) => {
@@ -293,9 +332,16 @@
             Fault::Server(i) => self.servers[*i].process.kill_if_running(),
             Fault::FaultyServer(i, faults) => self.set_faults(*i, faults.clone()).await,
             Fault::Link(link, mode) => self.set_link(*link, *mode),
+            Fault::Silence(links, silenced) => self.silence(links, *silenced),
         }
     }
 
+    fn silence(&mut self, links: &[Link], silenced: Silenced) {
+        let relays = links.iter().flat_map(|link| &self.relays[link]);
+        relays.for_each(|relay| relay.silence(silenced));
+        self.silences.push(Silence { at: Instant::now(), links: links.into() });
+    }
+
     /// Ends a fault, and restores the affected processes and links.
     pub async fn end(&mut self, fault: &Fault) {
         match fault {
@@ -323,23 +369,35 @@
             }
             Fault::FaultyServer(i, _) => self.set_faults(*i, serde_json::json!({})).await,
             Fault::Link(link, _) => self.set_link(*link, self.default_mode(*link)),
-            Fault::Daemon(_, ProcessFault::Reload) | Fault::Control(_, ProcessFault::Reload) => {}
+            Fault::Daemon(_, ProcessFault::Reload)
+            | Fault::Control(_, ProcessFault::Reload)
+            | Fault::Silence(..) => {}
         }
         if fault.is_disruptive() {
             self.disruptions.end();
         }
+        if fault.affects_control() {
+            self.control_faults.end();
+        }
+        if fault.affects_requests() {
+            self.request_faults.end();
+        }
     }
 
     /// Returns whether a disruptive fault overlaps a period, or has ended shortly before it.
     pub fn is_disrupted(&self, from: Instant, until: Instant) -> bool {
-        self.disruptions.periods.iter().any(|(began, ended)| {
-            *began <= until && ended.is_none_or(|ended| ended + RECOVERY_TIME >= from)
-        })
+        self.disruptions.overlap(from, until)
     }
 
     /// Records a disruptive fault from now on, because crashing requests are sent.
     pub fn begin_crash_requests(&mut self) {
         self.disruptions.begin();
+        self.request_faults.begin();
+    }
+
+    /// Records that no crashing request is sent any more, and that the backend servers run.
+    pub fn end_crash_requests(&mut self) {
+        self.request_faults.end();
     }
 
     /// Restarts backend servers that a request has crashed, after a delay.
--- a/crates/cherrystream/tests/soak/main.rs
+++ b/crates/cherrystream/tests/soak/main.rs
@@ -2,6 +2,7 @@
 //! callers, backend servers and operators from their observations.
 //!
 //! Hosts have slow links in most runs, and the route table is continually replaced by large ones.
+//! Open connections of every link go silent for good, during the other faults and after them.
 //! Except in the runs of `FAILED_SEEDS`, every request needs a key, and keys are added, revoked and
 //! moved.
 //!
@@ -24,7 +25,9 @@
 #[path = "../../../../platform/tests/support/orders.rs"]
 mod orders;
 mod plan;
+mod probes;
 mod rollouts;
+mod silences;
 mod tables;
 mod watchers;
 
@@ -63,6 +66,8 @@
 const PLANNED_RUN_EVERY: u64 = 4;
 /// Salt of the seed for hosts and series, which keeps the draws of the other faults independent.
 const HOSTS_SALT: u64 = 0x686f_7374;
+/// Salt of the seed for silences, which keeps the draws of the other faults independent.
+const SILENCES_SALT: u64 = 0x7369_6c65_6e74;
 
 fn size_of(seed: u64) -> Size {
     if env_number("SOAK_LARGE").is_some() {
@@ -113,22 +118,33 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
-fn plan_of(seed: u64, size: Size, duration: Duration) -> (Hosts, Vec<ScheduledFault>) {
+/// What is drawn for one run.
+struct Drawn {
+    hosts: Hosts,
+    faults: Vec<ScheduledFault>,
+    /// Silences after all other faults.
+    silences_alone: Vec<ScheduledFault>,
+}
+
+fn draw(seed: u64, size: Size, duration: Duration) -> Drawn {
     let mut plan = plan::draw(&mut SmallRng::seed_from_u64(seed), size, duration);
     let mut rng = SmallRng::seed_from_u64(seed ^ HOSTS_SALT);
     let hosts = Hosts::draw(&mut rng);
     plan.extend(plan::draw_series(&mut rng, size, duration));
+    let mut rng = SmallRng::seed_from_u64(seed ^ SILENCES_SALT);
+    plan.extend(plan::draw_silences(&mut rng, size, duration));
+    let silences_alone = plan::draw_silences_alone(&mut rng, size);
     if seed % PLANNED_RUN_EVERY == PLANNED_RUN_EVERY - 1 {
         plan.retain(|scheduled| !scheduled.fault.is_disruptive());
     }
     plan.sort_by_key(|scheduled| scheduled.at);
-    (hosts, plan)
+    Drawn { hosts, faults: plan, silences_alone }
 }
 
 /// Runs one seed; returns the violated guarantees.
 async fn run(seed: u64, duration: Duration) -> Vec<String> {
     let size = size_of(seed);
-    let (hosts, plan) = plan_of(seed, size, duration);
+    let Drawn { hosts, faults: plan, silences_alone } = draw(seed, size, duration);
     let keyed = FAILED_SEEDS.iter().all(|(failed, _)| *failed != seed);
     let (mut cluster, tables) = Cluster::start(size, hosts, seed, keyed).await;
     let watched = cluster.watched();
@@ -140,6 +156,11 @@
             calling.spawn(callers::call(daemon.clone(), seed, stop.clone()));
         }
     }
+    let stop_probes = Arc::new(AtomicBool::new(false));
+    let mut probing = tokio::task::JoinSet::new();
+    for probe in probes::all(&cluster, size, &watched) {
+        probing.spawn(probe.run(stop_probes.clone()));
+    }
     let mut watching = tokio::task::JoinSet::new();
     for watched in &watched {
         watching.spawn(watched.clone().watch(tables.accepted_tables.clone(), stop.clone()));
@@ -178,6 +199,7 @@
         stop_crashing.store(true, Ordering::Relaxed);
         calling.await.expect("the caller of the crashing request has not panicked");
         crashing::restore(&mut cluster).await;
+        cluster.end_crash_requests();
     }
     let recovered = recover(&cluster, &mut violations).await;
     stop_rollouts.store(true, Ordering::Relaxed);
@@ -190,11 +212,19 @@
     stop_keys.store(true, Ordering::Relaxed);
     let (mut tables, mut replaced) =
         replacing.await.expect("the operator of tables has not panicked");
-    let last = change_after_faults(&mut tables, &watched, &mut violations).await;
-    let keys = match keys {
-        Some(keys) => Some(settle_keys(keys, &watched, &mut violations).await),
-        None => None,
+    let settling = async {
+        let last = change_after_faults(&mut tables, &watched, &mut violations).await;
+        let keys = match keys {
+            Some(keys) => Some(settle_keys(keys, &watched, &mut violations).await),
+            None => None,
+        };
+        (last, keys)
     };
+    let silencing = silence_alone(&mut cluster, size, &silences_alone);
+    let ((last, keys), mut unanswering) = tokio::join!(settling, silencing);
+    violations.append(&mut unanswering);
+    stop_probes.store(true, Ordering::Relaxed);
+    let probed = silences::judge(&cluster, &probing.join_all().await);
     stop.store(true, Ordering::Relaxed);
     calling_with_keys.join_all().await;
     let keyed_records = std::mem::take(&mut *keyed_records.lock());
@@ -204,6 +234,8 @@
     let observations = watching.join_all().await;
     cluster.check_running(size);
     violations.append(&mut checks::violations(&cluster, &records));
+    violations.append(&mut silences::lost_requests(&cluster, &records));
+    violations.extend(probed.violations.iter().cloned());
     if cluster.states_backpressure {
         violations.append(&mut backpressure::violations(&cluster, &records));
     }
@@ -228,9 +260,10 @@
         "seed {seed}: {} daemons, {hosts:?}, faults {:?}, {} requests {:?}, {}, \
          {} without an answer from daemons that were not killed, \
          {} changes and {} tables accepted, a daemon lagged for at most {:?}, served again after \
-         {recovered:?}, last table applied after {last:?}, {} guarantees violated",
+         {recovered:?}, last table applied after {last:?}, {} times judged after silences, served \
+         within {:?}, {} guarantees violated",
         size.daemons,
-        plan::count(&plan),
+        plan::count(plan.iter().chain(&silences_alone)),
         records.len(),
         checks::outcomes(&records),
         keys::outcomes(&keyed_records),
@@ -238,6 +271,8 @@
         accepted.len(),
         replaced.accepted,
         observations.iter().map(|observation| observation.longest).max().unwrap_or_default(),
+        probed.judged,
+        probed.longest,
         violations.len(),
     );
     unanswered.iter().for_each(|what| println!("seed {seed}: unanswered, not run: {what}"));
@@ -248,6 +283,27 @@
     violations
 }
 
+/// Injects silences while no other fault is active, and waits until everything must work again.
+/// Returns the control replicas that did not answer before.
+async fn silence_alone(
+    cluster: &mut Cluster,
+    size: Size,
+    silences: &[ScheduledFault],
+) -> Vec<String> {
+    let violations = probes::wait_until_answered(cluster, size).await;
+    wait_for_recovery(cluster).await;
+    inject_faults(cluster, silences).await;
+    wait_for_recovery(cluster).await;
+    violations
+}
+
+/// Waits until everything must work again after the last silence.
+async fn wait_for_recovery(cluster: &Cluster) {
+    if let Some(last) = cluster.silences.last() {
+        tokio::time::sleep_until((last.at + silences::RECOVERY_TIMEOUT).into()).await;
+    }
+}
+
 /// Injects the faults of a plan at their times; returns after all have ended.
 async fn inject_faults(cluster: &mut Cluster, plan: &[ScheduledFault]) {
     let start = Instant::now();
--- a/crates/cherrystream/tests/soak/plan.rs
+++ b/crates/cherrystream/tests/soak/plan.rs
@@ -1,6 +1,6 @@
 //! The faults of one run, drawn from its seed.
 
-use crate::support::relay::Mode;
+use crate::support::relay::{Mode, Silenced};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
@@ -21,6 +21,20 @@
 /// `None` for unlimited links.
 const LINK_BYTES_PER_SECOND: [Option<u64>; 4] = [None, Some(170_000), Some(340_000), Some(475_000)];
 
+/// Mean pause between two series of silences, in milliseconds.
+const MEAN_SILENCES_PAUSE_MS: u64 = 900;
+/// Largest number of silences of a series.
+const MAX_SILENCES: usize = 3;
+/// Longest pause between two silences of a series, in milliseconds.
+const MAX_SILENCE_STEP_MS: u64 = 500;
+/// Time in which silences begin after all other faults, in milliseconds.
+const SILENCES_ALONE_MS: u64 = 1_000;
+/// Probability that a link of one kind goes silent after all other faults.
+const SILENCE_ALONE_PROBABILITY: f64 = 0.6;
+/// Time for which a silence may disturb requests under way; less than the time after which all
+/// connections must work again.
+const SILENCE_DURATION: Duration = Duration::from_secs(2);
+
 /// Setup of the hosts of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Hosts {
@@ -77,6 +91,8 @@
     FaultyServer(usize, serde_json::Value),
     /// A relay disturbs the connections that pass through it.
     Link(Link, Mode),
+    /// Open connections of these links stop to carry bytes for good. New ones work.
+    Silence(Vec<Link>, Silenced),
 }
 
 /// A connection that passes through a relay.
@@ -90,6 +106,29 @@
     Sync(usize),
     /// From one control replica to another.
     Control(u64, u64),
+    /// From callers that use a relay to a daemon.
+    Caller(usize),
+    /// From operators that use a relay to a control replica.
+    Operator(u64),
+}
+
+impl Link {
+    /// Returns whether requests, or the records that they need, pass through the link on behalf of
+    /// a daemon.
+    fn carries_requests(self) -> bool {
+        matches!(self, Link::Peer(_) | Link::Server(_) | Link::Sync(_))
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Link::Peer(_) => "peer",
+            Link::Server(_) => "server",
+            Link::Sync(_) => "sync",
+            Link::Control(..) => "control",
+            Link::Caller(_) => "caller",
+            Link::Operator(_) => "operator",
+        }
+    }
 }
 
 impl Fault {
@@ -100,6 +139,24 @@
             Fault::Daemon(_, process_fault) => !process_fault.is_graceful(),
             Fault::Control(..) | Fault::LostDisk(_) => false,
             Fault::Server(_) | Fault::FaultyServer(..) | Fault::Link(..) => true,
+            Fault::Silence(links, _) => links.iter().any(|link| link.carries_requests()),
+        }
+    }
+
+    /// Returns whether control may be unable to answer because of the fault, other than by a
+    /// silence.
+    pub fn affects_control(&self) -> bool {
+        matches!(self, Fault::Control(..) | Fault::LostDisk(_) | Fault::Link(Link::Control(..), _))
+    }
+
+    /// Returns whether a request that may be repeated can fail because of the fault, other than by
+    /// a silence.
+    pub fn affects_requests(&self) -> bool {
+        match self {
+            Fault::Daemon(_, process_fault) => *process_fault != ProcessFault::Reload,
+            Fault::Server(_) | Fault::FaultyServer(..) => true,
+            Fault::Link(link, _) => link.carries_requests(),
+            Fault::Control(..) | Fault::LostDisk(_) | Fault::Silence(..) => false,
         }
     }
 
@@ -111,14 +168,10 @@
             Fault::LostDisk(_) => "control-lost-disk".into(),
             Fault::Server(_) => "server-kill".into(),
             Fault::FaultyServer(..) => "server-misbehaves".into(),
-            Fault::Link(link, mode) => {
-                let link = match link {
-                    Link::Peer(_) => "peer",
-                    Link::Server(_) => "server",
-                    Link::Sync(_) => "sync",
-                    Link::Control(..) => "control",
-                };
-                format!("link-{link}-{mode:?}").to_lowercase()
+            Fault::Link(link, mode) => format!("link-{}-{mode:?}", link.name()).to_lowercase(),
+            Fault::Silence(links, silenced) => {
+                let all = if links.len() > 1 { "all-" } else { "" };
+                format!("silence-{all}{}-{silenced:?}", links[0].name()).to_lowercase()
             }
         }
     }
@@ -185,6 +238,79 @@
     faults.into_iter().enumerate().map(scheduled).collect()
 }
 
+/// Draws series of silences in addition to the other faults.
+pub fn draw_silences(rng: &mut SmallRng, size: Size, length: Duration) -> Vec<ScheduledFault> {
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..2 * MEAN_SILENCES_PAUSE_MS));
+    while at < length {
+        plan.extend(draw_silence_series(rng, size, at));
+        at += Duration::from_millis(rng.random_range(0..2 * MEAN_SILENCES_PAUSE_MS));
+    }
+    plan
+}
+
+/// Draws silences that no other fault overlaps: of all links between control replicas first, and of
+/// some of the other kinds of links.
+pub fn draw_silences_alone(rng: &mut SmallRng, size: Size) -> Vec<ScheduledFault> {
+    let daemon = || 0..size.daemons;
+    let one_of_each = [
+        Link::Peer(rng.random_range(daemon())),
+        Link::Server(rng.random_range(daemon())),
+        Link::Sync(rng.random_range(daemon())),
+        Link::Caller(rng.random_range(daemon())),
+        Link::Operator(rng.random_range(1..=size.controls)),
+    ];
+    let mut plan = vec![silence(Duration::ZERO, control_links(size), rng)];
+    for link in one_of_each {
+        if rng.random_bool(SILENCE_ALONE_PROBABILITY) {
+            let at = Duration::from_millis(rng.random_range(0..SILENCES_ALONE_MS));
+            plan.push(silence(at, vec![link], rng));
+        }
+    }
+    plan.sort_by_key(|scheduled| scheduled.at);
+    plan
+}
+
+fn silence(at: Duration, links: Vec<Link>, rng: &mut SmallRng) -> ScheduledFault {
+    let silenced = [Silenced::Both, Silenced::There, Silenced::Back][rng.random_range(0..3)];
+    ScheduledFault { at, duration: SILENCE_DURATION, fault: Fault::Silence(links, silenced) }
+}
+
+fn draw_silence_series(rng: &mut SmallRng, size: Size, start: Duration) -> Vec<ScheduledFault> {
+    let mut at = start;
+    let mut plan = Vec::new();
+    for _ in 0..rng.random_range(1..=MAX_SILENCES) {
+        let links = draw_silenced_links(rng, size);
+        plan.push(silence(at, links, rng));
+        at += Duration::from_millis(rng.random_range(0..MAX_SILENCE_STEP_MS));
+    }
+    plan
+}
+
+fn draw_silenced_links(rng: &mut SmallRng, size: Size) -> Vec<Link> {
+    let daemon = rng.random_range(0..size.daemons);
+    let control = rng.random_range(1..=size.controls);
+    match rng.random_range(0..7) {
+        0 => control_links(size),
+        1 => {
+            let links = control_links(size);
+            vec![links[rng.random_range(0..links.len())]]
+        }
+        2 => vec![Link::Peer(daemon)],
+        3 => vec![Link::Server(daemon)],
+        4 => vec![Link::Sync(daemon)],
+        5 => vec![Link::Caller(daemon)],
+        _ => vec![Link::Operator(control)],
+    }
+}
+
+/// Returns the links between control replicas.
+fn control_links(size: Size) -> Vec<Link> {
+    let from = 1..=size.controls;
+    let links = from.flat_map(|from| (1..=size.controls).map(move |to| (from, to)));
+    links.filter(|(from, to)| from != to).map(|(from, to)| Link::Control(from, to)).collect()
+}
+
 fn draw_fault(rng: &mut SmallRng, size: Size) -> Fault {
     let daemon = rng.random_range(0..size.daemons);
     let control = rng.random_range(1..=size.controls);
@@ -232,8 +358,8 @@
     }
 }
 
-/// Counts the faults of a plan by kind.
-pub fn count(plan: &[ScheduledFault]) -> BTreeMap<String, usize> {
+/// Counts faults by kind.
+pub fn count<'a>(plan: impl Iterator<Item = &'a ScheduledFault>) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
     for scheduled in plan {
         *counts.entry(scheduled.fault.kind()).or_default() += 1;
