--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod path;
 mod peers;
 mod places;
+mod relay;
 mod rollouts;
 mod silence;
 mod silent_calls;
