Roll-outs: bad responses that two instances share unevenly by chance no longer excuse a version

Cause: a trial runs at two instances, and a version whose bad responses come from one of them (more than 0.8) counts as good with one bad instance. With four or five bad responses, two equally bad instances look so in 6 to 12 cases of 100. Besides, a suspicion faded between bad responses that are spread over the trial, and none was considered at the completion.

A suspicion is excused by a single instance only if equally bad instances would look so with a probability of 0.01 at most; all responses of the trial count for it, not only the last ones; and a version that is suspected when it is due is rolled back.

--- a/crates/cherrystream-core/src/rollout/controller.rs
+++ b/crates/cherrystream-core/src/rollout/controller.rs
@@ -353,9 +353,16 @@
         let is_drained = old.all(|host| host.in_flight == 0 && host.received_at > moved.at);
         let within = Duration::from_millis(rollout.within_ms);
         let is_due = self.elapsed_time(now) + COMMIT_TIME + ACK_TIME >= within;
+        if moved_for < moved.drain_time || !(is_drained || is_due) {
+            return None;
+        }
+        if let Some(finding) = self.evaluator.suspicion() {
+            let what =
+                || Step::roll_back(format!("{finding}: possibly by chance, at the deadline"));
+            return if is_due { what() } else { None };
+        }
         let reason = format!("no regression in {} of {} responses", self.canary, self.total());
-        let step = Step { stage: RolloutStage::Completed, exposure_milli: 1_000, reason };
-        (moved_for >= moved.drain_time && (is_drained || is_due)).then_some(step)
+        Some(Step { stage: RolloutStage::Completed, exposure_milli: 1_000, reason })
     }
 
     /// Returns the responses of all versions since the start.
--- a/crates/cherrystream-core/src/rollout/evaluation.rs
+++ b/crates/cherrystream-core/src/rollout/evaluation.rs
@@ -17,6 +17,9 @@
 const REGRESSION_SCORE: f64 = 10.3;
 /// Share of `REGRESSION_SCORE` from which a regression is suspected.
 const SUSPICION_SHARE: f64 = 0.5;
+/// Log-likelihood ratio of all responses of the canary from which a regression is suspected: the
+/// responses are 33 times more likely for a regression. One bad response never reaches it.
+const SUSPICION_TOTAL: f64 = 3.5;
 /// Increases of the share of failures that the tests detect. Each finds a version near its own
 /// increase soonest: the smallest needs twice as many responses of one that fails every time.
 const FAILURE_INCREASES: [f64; 3] = [0.03, 0.12, 0.5];
@@ -45,6 +48,9 @@
 const MIN_INSTANCE_ANSWERS: u64 = 5;
 /// Share of all bad responses from which a single instance, not the version, is the cause.
 const SINGLE_INSTANCE_SHARE: f64 = 0.8;
+/// Probability that instances which are equally bad look like a single bad one by chance, up to
+/// which a version is completed in spite of a suspicion.
+const SINGLE_INSTANCE_CHANCE: f64 = 0.01;
 
 /// Kind of regression.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -117,6 +123,9 @@
     bad: u64,
     /// Score for each increase of the share of bad responses that is tested.
     scores: [f64; 3],
+    /// Log-likelihood ratio of all responses for each increase. Unlike a score, it does not fade
+    /// where bad responses are spread over the trial.
+    totals: [f64; 3],
 }
 
 /// Exponentially decayed counts of the old versions.
@@ -169,17 +178,19 @@
 
     /// Returns a regression of the canary, if one is detected.
     pub fn finding(&self) -> Option<Finding> {
-        self.worse_by(REGRESSION_SCORE)
+        self.worse_if(FaultTest::is_regression, 1.0)
     }
 
     /// Returns a regression of the canary that is likely, if there is one, though not yet detected.
     pub fn suspicion(&self) -> Option<Finding> {
-        self.worse_by(SUSPICION_SHARE * REGRESSION_SCORE)
+        self.worse_if(FaultTest::is_suspicious, SINGLE_INSTANCE_CHANCE)
     }
 
-    fn worse_by(&self, score: f64) -> Option<Finding> {
+    /// Returns a regression that is not that of a single instance, where this may be wrong with a
+    /// probability of `max_chance`.
+    fn worse_if(&self, is_worse: impl Fn(&FaultTest) -> bool, max_chance: f64) -> Option<Finding> {
         let found = |(kind, kind_state): (&String, &KindEvaluator)| {
-            let (fault, test) = kind_state.tests.iter().find(|(_, test)| test.max() >= score)?;
+            let (fault, test) = kind_state.tests.iter().find(|(_, test)| is_worse(test))?;
             Some(Finding {
                 kind: kind.clone(),
                 fault: *fault,
@@ -188,18 +199,27 @@
                 baseline: kind_state.baseline_share(*fault),
             })
         };
-        self.kinds.iter().filter_map(found).find(|finding| !self.is_single_instance(finding.fault))
+        let mut findings = self.kinds.iter().filter_map(found);
+        findings.find(|finding| !self.is_single_instance(finding.fault, max_chance))
     }
 
-    /// Returns whether nearly all bad responses come from one of several instances.
-    fn is_single_instance(&self, fault: Fault) -> bool {
+    /// Returns whether nearly all bad responses come from one of several instances, with a
+    /// probability of at most `max_chance` if the instances are equally bad.
+    fn is_single_instance(&self, fault: Fault, max_chance: f64) -> bool {
         let instances =
             self.instances.iter().filter(|((_, f), _)| *f == fault).map(|(_, tried)| *tried);
         let tried: Vec<(u64, u64)> =
             instances.filter(|(answered, _)| *answered >= MIN_INSTANCE_ANSWERS).collect();
         let bad: u64 = tried.iter().map(|(_, bad)| bad).sum();
-        let worst = tried.iter().map(|(_, bad)| *bad).max().unwrap_or_default();
-        tried.len() > 1 && worst as f64 > SINGLE_INSTANCE_SHARE * bad as f64
+        let answered: u64 = tried.iter().map(|(answered, _)| answered).sum();
+        let Some((worst_answered, worst)) = tried.iter().max_by_key(|(_, bad)| bad) else {
+            return false;
+        };
+        let share = *worst_answered as f64 / answered as f64;
+        let chance = tried.len() as f64 * at_least(*worst, bad, share);
+        tried.len() > 1
+            && *worst as f64 > SINGLE_INSTANCE_SHARE * bad as f64
+            && chance.min(1.0) <= max_chance
     }
 }
 
@@ -239,6 +259,17 @@
     }
 }
 
+/// Returns the probability of `least` or more hits in `all` trials with probability `share` each.
+fn at_least(least: u64, all: u64, share: f64) -> f64 {
+    let mut term = share.powf(all as f64);
+    let mut sum = 0.0;
+    for hits in (least..=all).rev() {
+        sum += term;
+        term *= hits as f64 / (all - hits + 1) as f64 * (1.0 - share) / share;
+    }
+    sum
+}
+
 /// Responses tested together.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
@@ -250,16 +281,27 @@
     /// Adds the log-likelihood ratios of the sample: worse by each of `increases`, against the
     /// baseline share.
     fn update(&mut self, sample: Sample, baseline: f64, increases: &[f64]) {
-        for (score, more) in self.scores.iter_mut().zip(increases) {
-            *score = (*score + sample.ratio(baseline, *more)).max(0.0);
+        let ratios = increases.iter().map(|more| sample.ratio(baseline, *more));
+        for ((score, total), ratio) in self.scores.iter_mut().zip(&mut self.totals).zip(ratios) {
+            *score = (*score + ratio).max(0.0);
+            *total += ratio;
         }
         self.answered += sample.answered;
         self.bad += sample.bad;
     }
 
-    fn max(&self) -> f64 {
-        self.scores.into_iter().fold(0.0, f64::max)
+    fn is_regression(&self) -> bool {
+        max(self.scores) >= REGRESSION_SCORE
     }
+
+    fn is_suspicious(&self) -> bool {
+        max(self.scores) >= SUSPICION_SHARE * REGRESSION_SCORE
+            || max(self.totals) >= SUSPICION_TOTAL
+    }
+}
+
+fn max(ratios: [f64; 3]) -> f64 {
+    ratios.into_iter().fold(0.0, f64::max)
 }
 
 impl Sample {
--- a/crates/cherrystream-core/tests/rollouts/plays.rs
+++ b/crates/cherrystream-core/tests/rollouts/plays.rs
@@ -81,6 +81,21 @@
     }
 }
 
+/// Guards against bad responses that two instances share unevenly by chance: the version was taken
+/// for a good one with a bad instance.
+#[test]
+fn a_version_that_fails_one_in_five_of_few_requests_is_rolled_back() {
+    const FIRST_SEED: u64 = 50_000;
+    const MANY_SEEDS: u64 = 100;
+    let version = Version { fails: 0.2, ..GOOD };
+    let outcomes: Vec<Outcome> = (FIRST_SEED..FIRST_SEED + MANY_SEEDS)
+        .map(|seed| world::simulate(simulation(version, 40.0, seed)))
+        .collect();
+    assert_bounds(&outcomes);
+    let rolled_back = count_in_stage(&outcomes, RolloutStage::RolledBack) as u64;
+    assert!(rolled_back * SEEDS >= MANY_SEEDS * (SEEDS - 1), "{rolled_back} of {MANY_SEEDS}");
+}
+
 /// Low traffic is covered by the last test.
 #[test]
 fn a_version_that_fails_one_in_ten_is_rolled_back_at_high_traffic() {
