A backend server that was suspended is not taken for one behind silent connections

What callers saw: when a backend server resumed after 1.5 s, the repeatable requests at work there were dropped and sent again without budget, twice the load at the moment of recovery.

Cause: a health request without a response for 200 ms on a used connection left a flag behind, and the next response on a new connection, even after the suspension, convicted all connections, without a look at the used one.

--- a/crates/cherrystream-daemon/src/health_checks.rs
+++ b/crates/cherrystream-daemon/src/health_checks.rs
@@ -134,7 +134,7 @@
 }
 
 async fn check_state(
-    server: &LocalServer,
+    server: &Arc<LocalServer>,
     may_repeat: impl Fn() -> bool,
 ) -> Result<ServerState, Failure> {
     let res = health_requests::send(server, HEALTH_PATH, may_repeat).await?;
--- a/crates/cherrystream/tests/processes/silent_calls.rs
+++ b/crates/cherrystream/tests/processes/silent_calls.rs
@@ -246,6 +246,29 @@
     assert_eq!(runs, 2 * CALLERS as u64);
 }
 
+/// Guards against taking connections for silent because their backend server was suspended for
+/// far longer than its requests take: its checks on used connections are answered when it resumes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_was_suspended_for_long_receives_no_request_twice() {
+    let calls = Calls::start(Line::Server).await;
+    for _ in 0..2 {
+        let lost = call_at_once(&calls.caller, IDLE_CONNECTIONS, |_| work(WORK_MS)).await;
+        assert_eq!(lost, Vec::<String>::new());
+    }
+    let before = client::counts(&calls.server_address).await.runs;
+    let suspended = call_at_once(&calls.caller, CALLERS, |_| work(WORK_MS));
+    let suspend = async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        calls.server.process.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        calls.server.process.signal(Signal::SIGCONT);
+    };
+    let (lost, ()) = tokio::join!(suspended, suspend);
+    assert_eq!(lost, Vec::<String>::new());
+    let runs = client::counts(&calls.server_address).await.runs - before;
+    assert_eq!(runs, CALLERS as u64);
+}
+
 /// Guards against health checks on dead connections that mark a live backend server as down.
 #[tokio::test(flavor = "multi_thread")]
 async fn checks_on_silent_connections_do_not_mark_a_backend_server_as_down() {
