Requests that end at their deadline raise the suspicion that connections are silent

What callers saw (by reading, found by the review): unrepeatable requests, or those with short deadlines, to a registered instance could each be lost to one of up to 64 dead idle connections, since only callers that disconnect started a probe.

Cause: a timeout counted as an ended exchange. Only a response or a closed connection does now. No test of its own: process tests cover listed servers only.

--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -106,7 +106,8 @@
                 return Err(self.refuse(Reason::BackendServerSilent));
             }
         };
-        awaited.has_ended = true;
+        // A request that ends at its deadline has shown nothing about its connection.
+        awaited.has_ended = sent.is_ok();
         let res = match sent {
             Ok(Ok(res)) => res,
             Ok(Err(NoAnswer::NotSent)) => {
