Requests are given up on a silent connection only if they are sent again

What callers saw (by reading, found by the review): isolated requests and those at their last attempt ended as backend-server-silent although no retry followed. The condition now is that of the retry decision.

--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -13,7 +13,7 @@
 use cherrystream_core::quota::Charge;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::request_times::{RequestTimes, TimeInputs};
-use cherrystream_core::retry::Allowance;
+use cherrystream_core::retry::{self, Allowance};
 use cherrystream_core::routes::RouteIndex;
 use cherrystream_core::suspects::identity::{self, Identity};
 use cherrystream_core::units::Timestamp;
@@ -193,6 +193,8 @@
         let arrivals = self.arrivals as usize + self.in_flight.load(Ordering::Relaxed);
         self.class.repeatable
             && self.key.is_none()
+            && !self.alone
+            && self.attempts + 1 < retry::MAX_ATTEMPTS
             && self.body.is_replayable()
             && self.allowance.left() > 0
             && arrivals < self.max_arrivals as usize
