An overloaded daemon detects silent connections to other daemons

Cause: each step that came more than 200 ms late started the measurement of silence again, without limit, so a process whose steps are always late never replaced a connection. Now only once until a byte arrives, as in core::keep_alive. Evidence: the new test failed before (no replacement in 20 steps) and passes.

--- a/crates/cherrystream-core/src/demand_keep_alive.rs
+++ b/crates/cherrystream-core/src/demand_keep_alive.rs
@@ -62,6 +62,8 @@
     /// Bytes written since then, and before the probe.
     written_before_probe: Option<u64>,
     is_replaced: bool,
+    /// Last step that came too late.
+    resumed_at: Option<Timestamp>,
     next_step_at: Option<Timestamp>,
 }
 
@@ -75,6 +77,7 @@
             base: Timestamp::default(),
             written_before_probe: None,
             is_replaced: false,
+            resumed_at: None,
             next_step_at: None,
         }
     }
@@ -109,7 +112,9 @@
         }
         // Bytes that arrived during a suspension of this process are read only now.
         let was_suspended = self.next_step_at.is_some_and(|at| now > at + self.opts.max_delay);
-        if was_suspended {
+        // Only once until a byte arrives, so that an overloaded process detects silence too.
+        if was_suspended && self.resumed_at.is_none_or(|at| traffic.last_received > at) {
+            self.resumed_at = Some(now);
             self.waiting_since = Some(now);
         }
         let waiting_since = *self.waiting_since.get_or_insert(now);
--- a/crates/cherrystream-core/tests/demand_keep_alive.rs
+++ b/crates/cherrystream-core/tests/demand_keep_alive.rs
@@ -96,3 +96,18 @@
         Ok(())
     });
 }
+
+/// Guards against an overloaded process, whose steps always come late, that never detects silence.
+#[test]
+fn late_steps_postpone_the_replacement_only_once() {
+    let mut state = DemandKeepAlive::new(OPTIONS);
+    let mut now = 1_000;
+    let replaced = (0..20).find(|_| {
+        let step = state.next(at(now), received_at(1), true);
+        if let Step::Wait(until) = step {
+            now = until.as_millis() + 300;
+        }
+        step == Step::Replace
+    });
+    assert!(replaced.is_some() && now <= 1_000 + 2 * 1_500, "{replaced:?} at {now}");
+}
