A connection to a peer is opened by a task that outlives its callers

What callers saw (by reading, found by the review): at a dark host, callers with less than 250 ms left each began the connect anew and recorded no failure, so that all of them queued until their deadlines and the balancer kept choosing that host. It has no test of its own yet.

--- a/crates/cherrystream-daemon/src/peer.rs
+++ b/crates/cherrystream-daemon/src/peer.rs
@@ -189,6 +189,12 @@
         if let Some(open) = self.open_connection() {
             return Some(open);
         }
+        // A task, so that a caller that leaves does not discard the result.
+        let peer = self.clone();
+        tokio::spawn(async move { peer.open_for_callers().await }).await.ok()?
+    }
+
+    async fn open_for_callers(self: &Arc<Self>) -> Option<(SendRequest<Body>, Arc<Channel>)> {
         // One caller connects; the others wait for it and share its result. Connecting in turn,
         // they would wait for an unreachable host until their deadlines.
         let requested_at = Instant::now();
