A replacement attempt does not consume a change of a replica's address

Cause (review): the attempt marked the address as seen; if the old connection then proved alive, the client stayed at the former address. Only the opening of a first connection marks it now.

--- a/crates/cherrystream-net/src/managed_client.rs
+++ b/crates/cherrystream-net/src/managed_client.rs
@@ -171,6 +171,7 @@
 
     /// Opens a connection. Returns `None` after a failure, once calls may try again.
     async fn open(&mut self) -> Option<Arc<Client>> {
+        self.address.mark_unchanged();
         if let Some(client) = self.connect().await {
             return Some(client);
         }
@@ -180,7 +181,7 @@
     }
 
     async fn connect(&mut self) -> Option<Arc<Client>> {
-        let address = self.address.borrow_and_update().clone();
+        let address = self.address.borrow().clone();
         let opts = &self.opts;
         let connect_options = ConnectOptions {
             key: opts.key.as_ref(),
