--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -41,6 +41,14 @@
 const LOG_KEEP_ALIVE: keep_alive::Options = keep_alive::Options {
     ping_interval: Duration::from_millis(1_000),
     timeout: Duration::from_millis(400),
+    max_extension: Duration::from_millis(300),
+    ..KEEP_ALIVE
+};
+/// Detection of silent connections for long messages. A piece is answered at once, after its
+/// transfer; between two messages there is nothing to detect.
+const TRANSFER_KEEP_ALIVE: keep_alive::Options = keep_alive::Options {
+    ping_interval: Duration::from_secs(10),
+    timeout: Duration::from_millis(400),
     ..KEEP_ALIVE
 };
 
@@ -296,10 +304,10 @@
         self.with(LOG_TRAFFIC, opts)
     }
 
-    /// Creates a connection for long messages. Nothing is received while a piece is sent, so the
-    /// timeout of its call detects a silent connection.
+    /// Creates a connection for long messages.
     fn for_transfers(&self) -> ReplicaConnection {
-        let opts = ManagedClientOptions { keep_alive: None, ..self.opts.clone() };
+        let opts =
+            ManagedClientOptions { keep_alive: Some(TRANSFER_KEEP_ALIVE), ..self.opts.clone() };
         self.with(TRANSFER_TRAFFIC, opts)
     }
 
