A call that begins with the last received byte is watched too

Cause: a byte answers all calls that began before it. A call in the same instant counted as answered too, and if it was cancelled before the next step, the connection was not observed until another call. The wait of such a call now begins with that byte.

--- a/crates/cherrystream-core/src/demand_keep_alive.rs
+++ b/crates/cherrystream-core/src/demand_keep_alive.rs
@@ -105,10 +105,15 @@
     }
 
     fn step(&mut self, now: Timestamp, traffic: Progress, has_calls: bool) -> Step {
-        let has_answered = self.waiting_since.is_none_or(|since| traffic.last_received > since);
-        if has_answered && !has_calls {
-            self.waiting_since = None;
-            return Step::Idle;
+        let has_answered = self.waiting_since.is_some_and(|since| traffic.last_received > since);
+        if has_answered || self.waiting_since.is_none() {
+            if !has_calls {
+                self.waiting_since = None;
+                return Step::Idle;
+            }
+            // A call that began with the last byte waits for the next one. The time in which no
+            // call waited does not count.
+            self.waiting_since = Some(if has_answered { traffic.last_received } else { now });
         }
         // Bytes that arrived during a suspension of this process are read only now.
         let was_suspended = self.next_step_at.is_some_and(|at| now > at + self.opts.max_delay);
