Connections: one meaning for each name, and clearer comments

Read as a newcomer by the reviewer: CALL_KEEP_ALIVE and KEEP_ALIVE_HEADER instead of two KEEP_ALIVE, client_even_if_silent instead of any_client, comments that name what they describe. No change of behaviour.

--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -7,7 +7,7 @@
 use cherrystream_core::transfer::{self, PieceSize, Sending};
 use cherrystream_net::connection_metrics::ConnectionFamilies;
 use cherrystream_net::key::Secret;
-use cherrystream_net::managed_client::{KEEP_ALIVE, ManagedClient, ManagedClientOptions};
+use cherrystream_net::managed_client::{CALL_KEEP_ALIVE, ManagedClient, ManagedClientOptions};
 use cherrystream_net::rpc::{self, Client, ControlRpcClient};
 use cherrystream_schema::messages::{PieceReply, RaftMessage};
 use jsonrpsee::core::client::Error as ClientError;
@@ -42,14 +42,14 @@
     ping_interval: Duration::from_millis(1_000),
     timeout: Duration::from_millis(400),
     max_extension: Duration::from_millis(300),
-    ..KEEP_ALIVE
+    ..CALL_KEEP_ALIVE
 };
 /// Detection of silent connections for long messages. A piece is answered at once, after its
 /// transfer; between two messages there is nothing to detect.
 const TRANSFER_KEEP_ALIVE: keep_alive::Options = keep_alive::Options {
     ping_interval: Duration::from_secs(10),
     timeout: Duration::from_millis(400),
-    ..KEEP_ALIVE
+    ..CALL_KEEP_ALIVE
 };
 
 /// Sends messages to the other replicas.
@@ -122,7 +122,7 @@
 async fn send_short(connection: ReplicaConnection, queue: Arc<Queue>) {
     loop {
         let messages = queue.next_short().await;
-        let Some(client) = connection.any_client().await else {
+        let Some(client) = connection.client_even_if_silent().await else {
             // Queued messages are stale by the time the replica is reachable again.
             queue.finish_short(false);
             queue.drop_short();
@@ -265,7 +265,7 @@
         let opts = ManagedClientOptions {
             key,
             call_timeout: CALL_TIMEOUT,
-            keep_alive: Some(KEEP_ALIVE),
+            keep_alive: Some(CALL_KEEP_ALIVE),
             metrics: families.metrics(CALL_TRAFFIC),
         };
         let client = ManagedClient::new(address.subscribe(), opts.clone());
@@ -289,10 +289,10 @@
     /// of `bytes` and the commit on the leader.
     pub fn for_bytes(&self, bytes: usize) -> ReplicaConnection {
         let transfer = Duration::from_secs_f64(bytes as f64 / MIN_THROUGHPUT);
-        let max_extension = KEEP_ALIVE.max_extension.max(transfer);
+        let max_extension = CALL_KEEP_ALIVE.max_extension.max(transfer);
         let opts = ManagedClientOptions {
             call_timeout: COMMIT_TIMEOUT + transfer,
-            keep_alive: Some(keep_alive::Options { max_extension, ..KEEP_ALIVE }),
+            keep_alive: Some(keep_alive::Options { max_extension, ..CALL_KEEP_ALIVE }),
             ..self.opts.clone()
         };
         self.with(LARGE_CALL_TRAFFIC, opts)
@@ -378,7 +378,7 @@
 
     /// Like [`ReplicaConnection::client`], but returns a silent connection too. For messages that
     /// may be lost.
-    pub async fn any_client(&self) -> Option<Arc<Client>> {
-        self.client.any_client().await
+    pub async fn client_even_if_silent(&self) -> Option<Arc<Client>> {
+        self.client.client_even_if_silent().await
     }
 }
--- a/crates/cherrystream-core/src/demand_keep_alive.rs
+++ b/crates/cherrystream-core/src/demand_keep_alive.rs
@@ -1,4 +1,5 @@
-//! Keep-alive of a connection that is observed only while calls need it.
+//! Keep-alive of a connection that is observed only while calls need it. For connections with
+//! continuous pings, see [`crate::keep_alive`].
 //!
 //! The observation starts with a call and lasts until the connection has shown that it works, so
 //! that calls that are cancelled before their answer do not end it. An idle connection costs
@@ -59,7 +60,7 @@
     waiting_since: Option<Timestamp>,
     /// Time from which silence is measured.
     base: Timestamp,
-    /// Bytes written since then, and before the probe.
+    /// Bytes written between `base` and the probe.
     written_before_probe: Option<u64>,
     is_replaced: bool,
     /// Last step that came too late.
--- a/crates/cherrystream-core/src/keep_alive.rs
+++ b/crates/cherrystream-core/src/keep_alive.rs
@@ -3,7 +3,8 @@
 //! An open connection may stop to carry bytes, in one direction or both, without a reset. Its owner
 //! sends pings, and a connection on which written bytes stay unanswered is replaced once a new one
 //! is open. A peer that is merely slow or suspended does not complete a new connection either, so
-//! its connection is kept.
+//! its connection is kept. For connections that are observed only during calls, see
+//! [`crate::demand_keep_alive`].
 
 use crate::units::Timestamp;
 use std::time::Duration;
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -34,9 +34,9 @@
 
 /// Shortest time after which a request without a response is considered lost.
 const MIN_LOSS_TIMEOUT: Duration = Duration::from_millis(500);
-/// The same time for a kind whose usual service time is not known.
+/// Loss timeout of a kind whose usual service time is not known.
 const DEFAULT_LOSS_TIMEOUT: Duration = Duration::from_secs(1);
-/// The same time as a multiple of the usual service time.
+/// Loss timeout as a multiple of the usual service time.
 const MAX_SLOWDOWN: u32 = 8;
 
 /// Shortest time between two probes that find out whether connections are silent.
@@ -74,8 +74,7 @@
     leaving_grace: Duration,
     /// Pool of connections to the backend server.
     pub backend: Pool,
-    /// The connection of its health checks. No request uses it, so that it is there to compare with
-    /// a new one.
+    /// Connections that only health checks use.
     pub checks: Pool,
     connection_state: Mutex<ConnectionState>,
     /// Rate limit of its health checks.
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -215,7 +215,7 @@
     async fn connect(&self, call: &Call, address: &str) -> Result<PeerConnection, Refused> {
         let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
         match tokio::time::timeout(remaining, self.peers.connect(address)).await {
-            Ok(line) => line.ok_or(Refused::new(Reason::PeerUnreachable)),
+            Ok(connection) => connection.ok_or(Refused::new(Reason::PeerUnreachable)),
             Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
         }
     }
--- a/crates/cherrystream-net/src/activity.rs
+++ b/crates/cherrystream-net/src/activity.rs
@@ -217,6 +217,7 @@
         self.activity.check(&self.activity.writer, cx)?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
+
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/cherrystream-net/src/managed_client.rs
+++ b/crates/cherrystream-net/src/managed_client.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 
 /// Detection of silent connections whose calls may take longer than the timeout.
-pub const KEEP_ALIVE: Options = Options {
+pub const CALL_KEEP_ALIVE: Options = Options {
     ping_interval: Duration::from_millis(300),
     timeout: Duration::from_millis(700),
     max_extension: Duration::from_secs(1),
@@ -82,6 +82,7 @@
     state: watch::Receiver<State>,
     /// Number of calls that wanted a connection and found none.
     wanted: watch::Sender<u64>,
+    /// Opens and replaces connections; aborted on drop.
     _task: JoinSet<()>,
 }
 
@@ -112,7 +113,7 @@
 
     /// Like [`ManagedClient::client`], but returns the connection to an unreachable peer if one is
     /// still open. For messages that may be lost.
-    pub async fn any_client(&self) -> Option<Arc<Client>> {
+    pub async fn client_even_if_silent(&self) -> Option<Arc<Client>> {
         if let State::Silent { client, .. } = &*self.state.borrow()
             && client.is_connected()
         {
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 
 /// Header in which a server announces how long it keeps an idle connection.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const KEEP_ALIVE_HEADER: HeaderName = HeaderName::from_static("keep-alive");
 /// Maximum number of idle connections.
 const MAX_IDLE: usize = 64;
 /// Idle time after which a connection is closed, since the peer may be about to close it.
@@ -247,7 +247,7 @@
 
 /// Returns how long a connection may be idle, by the `Keep-Alive` header of its last response.
 fn idle_timeout(headers: &HeaderMap) -> Duration {
-    let announced = headers.get(KEEP_ALIVE).and_then(|value| {
+    let announced = headers.get(KEEP_ALIVE_HEADER).and_then(|value| {
         let parameters = value.to_str().ok()?.split(',');
         let mut timeout =
             parameters.filter_map(|parameter| parameter.trim().strip_prefix("timeout="));
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -7,7 +7,7 @@
 
 use cherrystream_core::keep_alive::Options;
 use cherrystream_net::connection_metrics::ConnectionMetrics;
-use cherrystream_net::managed_client::{KEEP_ALIVE, ManagedClient, ManagedClientOptions};
+use cherrystream_net::managed_client::{CALL_KEEP_ALIVE, ManagedClient, ManagedClientOptions};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
@@ -73,7 +73,7 @@
 
 impl Caller {
     fn new(address: &str) -> Caller {
-        Caller::with(address, Some(KEEP_ALIVE))
+        Caller::with(address, Some(CALL_KEEP_ALIVE))
     }
 
     fn with(address: &str, keep_alive: Option<Options>) -> Caller {
@@ -150,7 +150,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_connection_with_rare_pings_is_kept() {
     let (ping_interval, timeout) = (Duration::from_secs(1), Duration::from_millis(400));
-    let opts = Options { ping_interval, timeout, ..KEEP_ALIVE };
+    let opts = Options { ping_interval, timeout, ..CALL_KEEP_ALIVE };
     let caller = Caller::with(&start_server().await, Some(opts));
     assert!(caller.call(Duration::ZERO, KEPT_CALL_BYTES).await);
     tokio::time::sleep(RECOVERY_TIMEOUT).await;
@@ -200,8 +200,8 @@
 /// Guards against replacing connections over a thin link that are merely behind a large call.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_calls_over_a_thin_link_are_answered() {
-    let extended = Options { max_extension: Duration::from_secs(6), ..KEEP_ALIVE };
-    for (keep_alive, bytes) in [(KEEP_ALIVE, KEPT_CALL_BYTES), (extended, LARGE_CALL_BYTES)] {
+    let extended = Options { max_extension: Duration::from_secs(6), ..CALL_KEEP_ALIVE };
+    for (keep_alive, bytes) in [(CALL_KEEP_ALIVE, KEPT_CALL_BYTES), (extended, LARGE_CALL_BYTES)] {
         let relay = Relay::start("127.0.0.1:0", &start_server().await).await;
         let caller = Caller::with(&relay.address, Some(keep_alive));
         assert!(caller.short_call().await);
