Short requests to a daemon do not share a connection with long bodies

Cause: one HTTP/2 connection to each daemon. On links of 170 KB/s bodies of 100 KB fill it, so that short requests wait behind them for seconds, and the detection of silence extends its timeout by the time of these bytes, by up to 2 s. Class: head-of-line blocking.

Evidence: calls to daemons without a response for a second are counted (peer_waits) and logged with the state of their connection.

Why it works: requests whose body exceeds one frame (16 KB), and those for chunks of an update, use a second connection, which is closed after 30 s without a call. Connections share a link evenly, so a short request waits for one frame of each, and its connection is found silent within 1 s; one for long bodies within 2 s, from 2.5 s.

--- a/crates/cherrystream-daemon/src/metrics.rs
+++ b/crates/cherrystream-daemon/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Metrics of the daemon role.
 
 mod backpressure;
+mod peer_waits;
 mod quotas;
 
 pub use backpressure::BackpressureMetrics;
+pub use peer_waits::PeerWaits;
 pub use quotas::QuotaMetrics;
 
 use cherrystream_core::reasons::Reason;
@@ -86,6 +88,8 @@
     pub peer_replaced: Counter,
     /// Requests sent to other daemons.
     pub peer_calls: Counter,
+    /// Calls to other daemons that ended after a long wait.
+    pub peer_waits: PeerWaits,
     /// Index of the revision in force.
     pub revision_index: Gauge,
     /// Term of the revision in force.
@@ -152,6 +156,7 @@
             peer_connects: Counter::default(),
             peer_replaced: Counter::default(),
             peer_calls: Counter::default(),
+            peer_waits: PeerWaits::default(),
             revision_index: Gauge::default(),
             revision_term: Gauge::default(),
             unconfirmed: Gauge::default(),
@@ -204,6 +209,7 @@
         let replaced = self.peer_replaced.clone();
         r.register("peer_replaced", "Silent connections to daemons that were replaced", replaced);
         r.register("peer_calls", "Requests passed to other daemons", self.peer_calls.clone());
+        self.peer_waits.register(r);
         r.register("revision_index", "Index of the revision held", self.revision_index.clone());
         r.register("revision_term", "Term of the revision held", self.revision_term.clone());
         r.register("unconfirmed", "1 while held from a peer only", self.unconfirmed.clone());
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -6,7 +6,7 @@
 use crate::headers::{self, Op};
 use crate::hop;
 use crate::inbound::{InboundCall, MAX_CACHED_BYTES};
-use crate::peer::{NoAnswer, PeerConnection};
+use crate::peer::{NoAnswer, PeerConnection, Traffic};
 use crate::peer_server::ClaimHeader;
 use crate::refusal::Refused;
 use crate::sync::PeerRevision;
@@ -173,7 +173,8 @@
         }
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
-        let connection = self.connect(call, &record.peer_address).await?;
+        let traffic = Traffic::of(&req);
+        let connection = self.connect(call, &record.peer_address, traffic).await?;
         self.metrics.peer_calls.inc();
         if !is_resendable {
             return self.exchange(call, server, &record.peer_address, connection, req).await;
@@ -212,9 +213,14 @@
 
     /// Returns a connection to a peer. Nothing of the request is sent meanwhile, so it has provably
     /// not run if the deadline passes.
-    async fn connect(&self, call: &Call, address: &str) -> Result<PeerConnection, Refused> {
+    async fn connect(
+        &self,
+        call: &Call,
+        address: &str,
+        traffic: Traffic,
+    ) -> Result<PeerConnection, Refused> {
         let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        match tokio::time::timeout(remaining, self.peers.connect(address)).await {
+        match tokio::time::timeout(remaining, self.peers.connect(address, traffic)).await {
             Ok(connection) => connection.ok_or(Refused::new(Reason::PeerUnreachable)),
             Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
         }
--- a/crates/cherrystream-daemon/src/peer.rs
+++ b/crates/cherrystream-daemon/src/peer.rs
@@ -3,6 +3,9 @@
 mod channel;
 mod monitor;
 mod response_body;
+mod traffic;
+
+pub use traffic::Traffic;
 
 use crate::headers;
 use crate::metrics::Metrics;
@@ -47,7 +50,23 @@
 pub struct Peers {
     metrics: Metrics,
     key: Option<Secret>,
-    by_address: RwLock<HashMap<String, Arc<Peer>>>,
+    by_address: RwLock<HashMap<String, Lanes>>,
+}
+
+/// The connections to one peer.
+#[derive(Clone)]
+struct Lanes {
+    short: Arc<Peer>,
+    long: Arc<Peer>,
+}
+
+impl Lanes {
+    fn carrying(&self, traffic: Traffic) -> &Arc<Peer> {
+        match traffic {
+            Traffic::Short => &self.short,
+            Traffic::Long => &self.long,
+        }
+    }
 }
 
 impl Peers {
@@ -72,7 +91,29 @@
         address: &str,
         req: Request<Body>,
     ) -> Result<Response<Body>, NoAnswer> {
-        let connection = self.connect(address).await.ok_or(NoAnswer::NotSent)?;
+        self.send_with(address, Traffic::of(&req), req).await
+    }
+
+    /// Like [`Peers::send`], for a request whose response is long.
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub async fn send_for_long_response(
+        &self,
+        address: &str,
+        req: Request<Body>,
+    ) -> Result<Response<Body>, NoAnswer> {
+        self.send_with(address, Traffic::Long, req).await
+    }
+
+    async fn send_with(
+        &self,
+        address: &str,
+        traffic: Traffic,
+        req: Request<Body>,
+    ) -> Result<Response<Body>, NoAnswer> {
+        let connection = self.connect(address, traffic).await.ok_or(NoAnswer::NotSent)?;
         let replaced = Box::pin(connection.replaced());
         tokio::select! {
             biased;
@@ -81,10 +122,10 @@
         }
     }
 
-    /// Returns a connection to the daemon at an address, without sending a request. Returns `None`
-    /// when the daemon is unreachable.
-    pub async fn connect(&self, address: &str) -> Option<PeerConnection> {
-        let peer = self.peer(address);
+    /// Returns a connection to the daemon at an address for some traffic, without sending a request.
+    /// Returns `None` when the daemon is unreachable.
+    pub async fn connect(&self, address: &str, traffic: Traffic) -> Option<PeerConnection> {
+        let peer = self.peer(address, traffic);
         let (sender, channel) = peer.connection().await?;
         Some(PeerConnection { peer, sender, channel })
     }
@@ -94,13 +135,27 @@
         self.by_address.write().retain(|address, _| used(address));
     }
 
-    fn peer(&self, address: &str) -> Arc<Peer> {
-        if let Some(peer) = self.by_address.read().get(address) {
-            return peer.clone();
+    fn peer(&self, address: &str, traffic: Traffic) -> Arc<Peer> {
+        if let Some(lanes) = self.by_address.read().get(address) {
+            return lanes.carrying(traffic).clone();
         }
+        let new = |traffic| Arc::new(self.new_peer(address, traffic));
         let mut map = self.by_address.write();
-        let new = || Arc::new(Peer::new(address, self.key.clone(), self.metrics.clone()));
-        map.entry(address.into()).or_insert_with(new).clone()
+        let lanes = map
+            .entry(address.into())
+            .or_insert_with(|| Lanes { short: new(Traffic::Short), long: new(Traffic::Long) });
+        lanes.carrying(traffic).clone()
+    }
+
+    fn new_peer(&self, address: &str, traffic: Traffic) -> Peer {
+        Peer {
+            address: address.into(),
+            traffic,
+            key: self.key.clone(),
+            metrics: self.metrics.clone(),
+            open: RwLock::new(None),
+            connecting: Mutex::new(None),
+        }
     }
 }
 
@@ -134,10 +189,11 @@
         req: Request<Body>,
         replaced: Option<Replaced>,
     ) -> Result<Response<Body>, NoAnswer> {
-        let guard = self.channel.begin_call();
+        let mut guard = self.channel.begin_call();
         match self.sender.clone().try_send_request(req).await {
             Ok(res) => Ok(res.map(|incoming| ResponseBody::new(incoming, replaced, guard).boxed())),
             Err(mut e) => {
+                guard.on_complete();
                 let unsent = e.take_message().is_some();
                 let e = e.into_error();
                 self.peer.discard_if_closed();
@@ -160,8 +216,10 @@
     false
 }
 
+/// The connection to a peer for some traffic.
 struct Peer {
     address: String,
+    traffic: Traffic,
     key: Option<Secret>,
     metrics: Metrics,
     open: RwLock<Option<(SendRequest<Body>, Arc<Channel>)>>,
@@ -170,11 +228,6 @@
 }
 
 impl Peer {
-    fn new(address: &str, key: Option<Secret>, metrics: Metrics) -> Peer {
-        let (open, connecting) = (RwLock::new(None), Mutex::new(None));
-        Peer { address: address.into(), key, metrics, open, connecting }
-    }
-
     fn open_connection(&self) -> Option<(SendRequest<Body>, Arc<Channel>)> {
         self.open.read().as_ref().filter(|(sender, _)| !sender.is_closed()).cloned()
     }
@@ -205,7 +258,7 @@
         if last_failure.is_some_and(|at| at >= requested_at) {
             return None;
         }
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.address)).await;
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
         let Some(opened) = connected.ok().flatten() else {
             *last_failure = Some(Instant::now());
             return None;
@@ -230,12 +283,42 @@
         true
     }
 
+    async fn connect(&self) -> Option<Opened> {
+        let activity = Activity::new();
+        let stream = Observed::new(tcp::connect(&self.address).await.ok()?, activity.clone());
+        let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            // Late responses to cancelled requests must not close the connection.
+            .max_local_error_reset_streams(None)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
+        let connection = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        let waits = self.metrics.peer_waits.clone();
+        let channel = Channel::new(self.address.clone(), self.traffic, waits, activity);
+        Some(Opened { sender, channel, connection })
+    }
+
     fn write_key(&self, map: &mut HeaderMap) {
         if let Some(key) = &self.key {
             headers::set(map, headers::KEY, key.expose());
         }
     }
 
+    /// Stops to use a connection for new calls.
+    fn discard(&self, channel: &Arc<Channel>) {
+        let mut open = self.open.write();
+        if open.as_ref().is_some_and(|(_, used)| Arc::ptr_eq(used, channel)) {
+            *open = None;
+        }
+    }
+
     fn discard_if_closed(&self) {
         let mut open = self.open.write();
         if open.as_ref().is_some_and(|(sender, _)| sender.is_closed()) {
@@ -250,23 +333,3 @@
     channel: Arc<Channel>,
     connection: JoinHandle<()>,
 }
-
-async fn connect(address: &str) -> Option<Opened> {
-    let activity = Activity::new();
-    let stream = Observed::new(tcp::connect(address).await.ok()?, activity.clone());
-    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
-        .timer(TokioTimer::new())
-        .initial_stream_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_TIMEOUT)
-        // Late responses to cancelled requests must not close the connection.
-        .max_local_error_reset_streams(None)
-        .handshake(TokioIo::new(stream))
-        .await
-        .ok()?;
-    let connection = tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Some(Opened { sender, channel: Channel::new(activity), connection })
-}
--- a/crates/cherrystream-daemon/src/peer/monitor.rs
+++ b/crates/cherrystream-daemon/src/peer/monitor.rs
@@ -5,7 +5,7 @@
 
 use super::channel::Channel;
 use super::{Opened, Peer};
-use cherrystream_core::demand_keep_alive::{DemandKeepAlive, Options, Step};
+use cherrystream_core::demand_keep_alive::{DemandKeepAlive, Step};
 use cherrystream_net::activity::Activity;
 use cherrystream_net::body;
 use http::{Method, Request};
@@ -13,16 +13,6 @@
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
-/// Detection of silent connections. HTTP/2 pings find out whether the peer answers; the probe
-/// covers calls that were cancelled before a ping was due.
-const KEEP_ALIVE: Options = Options {
-    timeout: Duration::from_millis(500),
-    max_extension: Duration::from_secs(2),
-    retry_interval: Duration::from_millis(250),
-    probe_after: Duration::from_millis(300),
-    close_after: Duration::from_millis(4_500),
-    max_delay: Duration::from_millis(200),
-};
 /// Timeout for the first byte on a connection that is opened in place of a silent one. A suspended
 /// peer accepts connections, but sends nothing.
 const REPLACE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -43,13 +33,13 @@
     /// Runs until the connection has ended.
     pub(super) async fn run(self) {
         let Monitor { peer, channel, mut connection } = self;
-        let mut keep_alive = DemandKeepAlive::new(KEEP_ALIVE);
+        let mut keep_alive = DemandKeepAlive::new(channel.traffic.keep_alive());
         let steps = async {
             loop {
                 let activity = &channel.activity;
                 let now = activity.now();
                 match keep_alive.next(now, activity.progress(), channel.has_calls()) {
-                    Step::Idle => channel.called().await,
+                    Step::Idle => wait_for_call(&peer, &channel).await,
                     Step::Wait(at) => tokio::time::sleep(at.since(now)).await,
                     Step::Probe => send_probe(&peer, &channel),
                     Step::Replace if replace(&peer, &channel).await => keep_alive.on_replaced(),
@@ -65,6 +55,17 @@
     }
 }
 
+/// Waits for a call on an idle connection. One that stays idle for long is not used for new calls;
+/// it closes once nobody holds it.
+async fn wait_for_call(peer: &Weak<Peer>, channel: &Arc<Channel>) {
+    let idle_timeout = channel.traffic.idle_timeout();
+    if tokio::time::timeout(idle_timeout, channel.called()).await.is_err()
+        && let Some(peer) = peer.upgrade()
+    {
+        peer.discard(channel);
+    }
+}
+
 /// Sends a request that the peer refuses at once.
 fn send_probe(peer: &Weak<Peer>, channel: &Arc<Channel>) {
     let Some(peer) = peer.upgrade() else { return };
@@ -85,7 +86,7 @@
     let Some(peer) = peer.upgrade() else { return false };
     let before = channel.activity.progress().last_received;
     let opening = async {
-        let opened = super::connect(&peer.address).await?;
+        let opened = peer.connect().await?;
         wait_for_first_byte(&opened.channel.activity).await;
         Some(opened)
     };
@@ -101,8 +102,10 @@
     }
     let (age, silence) = (channel.activity.age(), channel.activity.silence());
     log::info!(
-        "peer: the connection to {}, {age:?} old, was silent for {silence:?} and is replaced",
-        peer.address
+        "peer: the connection to {}, {age:?} old, was silent for {silence:?} and is replaced: \
+         traffic={}",
+        peer.address,
+        channel.traffic.as_str(),
     );
     peer.metrics.peer_replaced.inc();
     channel.set_replaced();
--- a/crates/cherrystream-daemon/src/peer/response_body.rs
+++ b/crates/cherrystream-daemon/src/peer/response_body.rs
@@ -16,16 +16,20 @@
     incoming: Incoming,
     /// Makes the body fail, if the rest is not worth waiting for on a silent connection.
     replaced: Option<Replaced>,
-    _guard: CallGuard,
+    guard: CallGuard,
 }
 
 impl ResponseBody {
     pub(super) fn new(
         incoming: Incoming,
         replaced: Option<Replaced>,
-        guard: CallGuard,
+        mut guard: CallGuard,
     ) -> ResponseBody {
-        ResponseBody { incoming, replaced, _guard: guard }
+        match incoming.is_end_stream() {
+            true => guard.on_complete(),
+            false => guard.on_head(),
+        }
+        ResponseBody { incoming, replaced, guard }
     }
 }
 
@@ -38,6 +42,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) {
+            if !matches!(frame, Some(Ok(_))) || self.incoming.is_end_stream() {
+                self.guard.on_complete();
+            }
             return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
         }
         let replaced = self.replaced.as_mut().map(|replaced| replaced.as_mut().poll(cx));
--- a/crates/cherrystream-daemon/src/sync/downloads.rs
+++ b/crates/cherrystream-daemon/src/sync/downloads.rs
@@ -250,7 +250,12 @@
         let mut chunk_req =
             request(address, Op::Chunk, self.deps.key.as_ref()).ok_or(ChunkError::Failed)?;
         headers::set_json(chunk_req.headers_mut(), headers::CHUNK, req);
-        let res = self.deps.peers.send(address, chunk_req).await.map_err(|_| ChunkError::Failed)?;
+        let res = self
+            .deps
+            .peers
+            .send_for_long_response(address, chunk_req)
+            .await
+            .map_err(|_| ChunkError::Failed)?;
         if res.status() != StatusCode::OK {
             return Err(ChunkError::NotFound);
         }
