Each pooled connection that owes a response is judged, until the response is complete

What callers saw: repeatable requests ended at their deadline although their backend server answered on new connections.

Cause: what was known of a connection was kept in flags of its server and in futures of its callers. A request was watched only until the head of its response, and not on the first use of its connection. One idle connection stood for all: the youngest, which may have been opened after the silence. Any later response, also on another connection, withdrew the suspicion, and the comparison with a new connection was dropped with the check that had begun it, after 800 ms.

Why it works: every connection records when it was opened and last received a byte. A connection that owes bytes for longer than its kind of request takes is silent if an idle connection got no answer and a new one did after its last byte; or, where no connection of its age is idle, if none of its age has answered since and a new one did, asked after twice that time. Connections opened after a suspicion neither excuse nor stand for those before it. The comparison begins at once, is a task of its own, and waits for its budget. A request that can be sent again is watched to the end of a short answer.

False alarms: a suspended server answers on all connections within the spread of 200 ms; a slow one answers on one of the age of the late response, or the usual time of its kind is not known; both are tested. A server of which one of several workers hangs is still taken for silent. A suspicion costs two health requests at most every 500 ms, within the budget of the server.

--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod service_times;
 pub mod settings;
 pub mod shared;
+pub mod silent_connections;
 pub mod slowness;
 pub mod state;
 pub mod suspects;
--- a/crates/cherrystream-daemon/src/health_checks.rs
+++ b/crates/cherrystream-daemon/src/health_checks.rs
@@ -1,10 +1,11 @@
 //! Health checks and probes of the backend servers of this host, within the configured rate.
 
-use crate::health_requests::{self, Failure};
+use crate::health_requests::{self, Budget, Failure};
 use crate::inbound::Inbound;
 use crate::local_server::LocalServer;
 use crate::metrics::{Metrics, ServerLabel};
 use cherrystream_core::health::Check;
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::clock::Clock;
 use cherrystream_schema::messages::ServerState;
@@ -54,15 +55,19 @@
             server.tick();
             // An instance of a leaving host receives no requests, so it needs no probes.
             let is_in_service = inbound.check_leaving().is_none();
-            let needs_probe = server.needs_slowness_probe()
-                || server.start_warmth_probe()
-                || server.needs_connection_probe();
+            let needs_probe = server.needs_slowness_probe() || server.start_warmth_probe();
             if is_in_service && needs_probe {
-                tokio::spawn(probe_health(server, inbound.clone()));
+                tokio::spawn(probe_health(server.clone(), inbound.clone()));
+            }
+            if is_in_service && let Some(opened_before) = server.take_suspicion() {
+                tokio::spawn(compare_of_instance(server, inbound.clone(), opened_before));
             }
         }
         for server in inbound.local_servers.listed() {
             server.tick();
+            if let Some(opened_before) = server.take_suspicion() {
+                tokio::spawn(compare(server.clone(), cx.clone(), opened_before));
+            }
             let due_at = due.entry(server.id.clone()).or_insert(now);
             if *due_at <= now {
                 *due_at = now + server.probe_budget.lock().interval().max(MIN_INTERVAL);
@@ -81,20 +86,56 @@
     pub metrics: Metrics,
 }
 
-async fn check(server: Arc<LocalServer>, cx: HealthCheckContext) {
-    // Spent here, where the request is sent, so that no check bypasses the budget.
-    if !server.probe_budget.lock().try_spend(cx.clock.now()) {
-        return;
-    }
+/// Returns the budget of health requests to a listed backend server. It is spent where a request is
+/// sent, so that no check bypasses it.
+fn budget(server: &Arc<LocalServer>, cx: &HealthCheckContext) -> impl Budget + use<> {
     let label = ServerLabel { server: server.id.name.to_string() };
     let measured = cx.metrics.measuring.get_or_create_owned(&label);
-    measured.inc();
-    let may_repeat = || {
-        let may = server.probe_budget.lock().try_spend(cx.clock.now());
+    let (server, clock) = (server.clone(), cx.clock);
+    move || {
+        let may = server.probe_budget.lock().try_spend(clock.now());
         measured.inc_by(u64::from(may));
         may
-    };
-    let result = tokio::time::timeout(CHECK_TIMEOUT, check_state(&server, may_repeat)).await;
+    }
+}
+
+/// Finds out whether connections to a listed backend server are silent.
+async fn compare(server: Arc<LocalServer>, cx: HealthCheckContext, opened_before: Timestamp) {
+    let budget = budget(&server, &cx);
+    if budget() {
+        health_requests::compare(&server, HEALTH_PATH, opened_before, budget).await;
+    }
+}
+
+/// Finds out whether connections to an instance are silent.
+async fn compare_of_instance(
+    server: Arc<LocalServer>,
+    inbound: Arc<Inbound>,
+    opened_before: Timestamp,
+) {
+    let Some(path) = inbound.health_path(&server.id.service) else { return };
+    let budget = instance_budget(&server, &inbound);
+    if budget() {
+        health_requests::compare(&server, &path, opened_before, budget).await;
+    }
+}
+
+/// Returns the budget of health requests to an instance, which only counts them.
+fn instance_budget(server: &LocalServer, inbound: &Inbound) -> impl Budget + use<> {
+    let label = ServerLabel { server: server.id.name.to_string() };
+    let measured = inbound.metrics.measuring.get_or_create_owned(&label);
+    move || {
+        measured.inc();
+        true
+    }
+}
+
+async fn check(server: Arc<LocalServer>, cx: HealthCheckContext) {
+    let budget = budget(&server, &cx);
+    if !budget() {
+        return;
+    }
+    let result = tokio::time::timeout(CHECK_TIMEOUT, check_state(&server, budget)).await;
     let check = match result {
         Ok(Ok(state)) => Check::Reported(state),
         // It says nothing about the backend server; the next check uses a new connection.
@@ -107,16 +148,12 @@
 /// Probes the slowness and the warmth of an instance; waits no longer than for a health check.
 pub async fn probe_health(server: Arc<LocalServer>, inbound: Arc<Inbound>) {
     let Some(path) = inbound.health_path(&server.id.service) else { return };
-    let label = ServerLabel { server: server.id.name.to_string() };
-    inbound.metrics.measuring.get_or_create(&label).inc();
+    let budget = instance_budget(&server, &inbound);
+    budget();
     server.on_probe_sent();
     let sent_at = server.now();
-    let may_repeat = || {
-        inbound.metrics.measuring.get_or_create(&label).inc();
-        true
-    };
     let response =
-        tokio::time::timeout(CHECK_TIMEOUT, health_requests::send(&server, &path, may_repeat));
+        tokio::time::timeout(CHECK_TIMEOUT, health_requests::send(&server, &path, budget));
     if let Ok(Ok(res)) = response.await {
         let (parts, body) = res.into_parts();
         if let Some(load) = inbound.interface.read_load(&parts) {
@@ -135,9 +172,9 @@
 
 async fn check_state(
     server: &Arc<LocalServer>,
-    may_repeat: impl Fn() -> bool,
+    budget: impl Budget,
 ) -> Result<ServerState, Failure> {
-    let res = health_requests::send(server, HEALTH_PATH, may_repeat).await?;
+    let res = health_requests::send(server, HEALTH_PATH, budget).await?;
     let status = res.status();
     read_state(status, res.into_body()).await
 }
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -10,14 +10,14 @@
 use cherrystream_core::health::Check;
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::units::Timestamp;
-use cherrystream_net::body::{Body, Ending, Watched};
+use cherrystream_net::activity::Activity;
+use cherrystream_net::body::{self, Body, BoxError, Ending, Start, Watched};
 use cherrystream_net::interface::{Execution, SendHead};
 use cherrystream_net::pool::{Connection, NoAnswer};
 use cherrystream_net::stall;
 use cherrystream_schema::messages::ServerState;
 use http::{Response, response};
 use http_body::Body as _;
-use std::future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,34 +33,38 @@
     at_work: InFlightRequest,
 }
 
-/// A response that has not begun.
+/// A response that is not complete.
 struct AwaitedResponse<'a> {
     server: &'a LocalServer,
-    is_reused: bool,
+    activity: Arc<Activity>,
     /// On the clock of the pool.
     sent_at: Timestamp,
     has_ended: bool,
 }
 
 impl AwaitedResponse<'_> {
-    fn new(server: &LocalServer, is_reused: bool) -> AwaitedResponse<'_> {
-        AwaitedResponse { server, is_reused, sent_at: server.backend.now(), has_ended: false }
+    fn new<'a>(server: &'a LocalServer, connection: &Connection) -> AwaitedResponse<'a> {
+        let (activity, sent_at) = (connection.activity().clone(), server.backend.now());
+        AwaitedResponse { server, activity, sent_at, has_ended: false }
     }
 
-    /// Waits until the request is considered lost on a silent connection.
+    /// Returns since when the connection owes bytes.
+    fn owing_since(&self) -> Timestamp {
+        self.activity.traffic().last_received().max(self.sent_at)
+    }
+
+    /// Waits until the connection is known to be silent.
     async fn lost(&self, kind: &str) {
-        match self.is_reused {
-            true => self.server.lost(kind, self.sent_at).await,
-            false => future::pending().await,
-        }
+        self.server.lost(kind, || self.owing_since()).await;
     }
 }
 
 impl Drop for AwaitedResponse<'_> {
     fn drop(&mut self) {
-        let waited = self.server.backend.now().since(self.sent_at);
-        if !self.has_ended && self.is_reused && waited >= MIN_SUSPICIOUS_WAIT {
-            self.server.suspect_connections();
+        let owing_since = self.owing_since();
+        let waited = self.server.backend.now().since(owing_since);
+        if !self.has_ended && waited >= MIN_SUSPICIOUS_WAIT {
+            self.server.suspect_connections(owing_since);
         }
     }
 }
@@ -97,7 +101,7 @@
         permit.sent();
         let sent_at = self.clock.now();
         let at_work = InFlightRequest::begin(&self.suspects, server, call.identity, place);
-        let mut awaited = AwaitedResponse::new(server, connection.is_reused());
+        let mut awaited = AwaitedResponse::new(server, &connection);
         let sending = tokio::time::timeout(remaining, server.backend.send(connection, req));
         let sent = tokio::select! {
             biased;
@@ -107,7 +111,7 @@
             }
         };
         // A request that ends at its deadline has shown nothing about its connection.
-        awaited.has_ended = sent.is_ok();
+        awaited.has_ended = !matches!(sent, Ok(Ok(_)) | Err(_));
         let res = match sent {
             Ok(Ok(res)) => res,
             Ok(Err(NoAnswer::NotSent)) => {
@@ -124,7 +128,23 @@
             }
         };
         let sent = Sent { call: call.call, at: sent_at, permit, at_work };
-        self.check_answer(server, res, sent)
+        let res = self.check_answer(server, res, sent);
+        if !call.is_resendable || res.is_err() {
+            awaited.has_ended = true;
+            return res;
+        }
+        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
+        let reading = tokio::time::timeout(remaining, read_if_short(res?));
+        let read = tokio::select! {
+            biased;
+            read = reading => read,
+            () = awaited.lost(&call.kind) => return Err(self.refuse(Reason::BackendServerSilent)),
+        };
+        awaited.has_ended = read.is_ok();
+        match read {
+            Ok(res) => res.map_err(|_| self.refuse(Reason::BackendServerBroke)),
+            Err(_) => Err(self.refuse(Reason::DeadlinePassed)),
+        }
     }
 
     async fn connect(
@@ -197,3 +217,13 @@
         Ok(Response::from_parts(parts, body))
     }
 }
+
+/// Reads a short answer to its end, while the request can still be sent again.
+async fn read_if_short(res: Response<Body>) -> Result<Response<Body>, BoxError> {
+    let (parts, body) = res.into_parts();
+    let body = match body::read_start(body, MAX_CACHED_BYTES).await? {
+        Start::Whole(bytes) => body::full(bytes),
+        Start::Longer(body) => body,
+    };
+    Ok(Response::from_parts(parts, body))
+}
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -17,6 +17,7 @@
 use cherrystream_core::nested_calls::NestedCallDetector;
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::service_times::ServiceTimes;
+use cherrystream_core::silent_connections::{self, Evidence, Owing};
 use cherrystream_core::slowness;
 use cherrystream_core::suspects::CrashDetector;
 use cherrystream_core::units::Timestamp;
@@ -39,8 +40,10 @@
 /// Loss timeout as a multiple of the usual service time.
 const MAX_SLOWDOWN: u32 = 8;
 
-/// Shortest time between two probes that find out whether connections are silent.
-const CONNECTION_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two comparisons of connections.
+const COMPARISON_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time until an overdue response is judged again.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 type Waiter = oneshot::Sender<Result<Permit, Refusal>>;
 
@@ -85,15 +88,13 @@
     inner: Mutex<Inner>,
 }
 
-/// What is known of the open connections.
+/// Suspicion that open connections are silent.
 #[derive(Default)]
 struct ConnectionState {
-    /// Whether a request on one of them got no response for long.
-    is_suspected: bool,
-    /// Whether a health request got no response on one of them.
-    is_silent: bool,
-    /// When the last probe because of a suspicion was sent.
-    probed_at: Timestamp,
+    /// Latest time since when a connection owes a response that is overdue.
+    suspected_since: Option<Timestamp>,
+    /// When connections were last compared because of a suspicion.
+    compared_at: Option<Timestamp>,
 }
 
 struct Inner {
@@ -153,41 +154,54 @@
         }
     }
 
-    /// Waits until a request that was sent on a reused connection is considered lost: it takes far
-    /// longer than usual, and connections that were in use then have gone silent. `sent_at` is on
-    /// the clock of the pool.
-    pub async fn lost(&self, kind: &str, sent_at: Timestamp) {
+    /// Waits until the connection of a request is known to be silent: its response takes far longer
+    /// than usual, and other connections show that it is not for the backend server. `owing_since`
+    /// returns since when bytes are owed, on the clock of the pool.
+    pub async fn lost(&self, kind: &str, owing_since: impl Fn() -> Timestamp) {
         let typical = self.inner.lock().service_times.typical(kind);
-        tokio::time::sleep(loss_timeout(typical)).await;
-        self.suspect_connections();
-        self.backend.distrusted(sent_at).await;
+        let (patience, is_usual_known) = (loss_timeout(typical), typical.is_some());
+        loop {
+            let owing = Owing { since: owing_since(), patience, is_usual_known };
+            let now = self.backend.now();
+            let wait = owing.overdue_at().since(now);
+            if !wait.is_zero() {
+                tokio::time::sleep(wait).await;
+                continue;
+            }
+            let more_known = self.backend.more_known();
+            if silent_connections::is_silent(now, owing, &self.evidence(owing.since)) {
+                return;
+            }
+            self.suspect_connections(owing.since);
+            let _ = tokio::time::timeout(OVERDUE_CHECK_INTERVAL, more_known).await;
+        }
     }
 
-    /// Records that a request on a reused connection got no response for long.
-    pub fn suspect_connections(&self) {
-        self.connection_state.lock().is_suspected = true;
+    /// Returns what is known for a connection that owes a response since a time.
+    fn evidence(&self, owing_since: Timestamp) -> Evidence {
+        let evidence = self.backend.evidence(owing_since);
+        let checks = self.checks.evidence(owing_since);
+        let has_older_answered = evidence.has_older_answered || checks.has_older_answered;
+        Evidence { has_older_answered, ..evidence }
     }
 
-    /// Returns whether a probe has to find out if connections are silent; not again for a while.
-    pub fn needs_connection_probe(&self) -> bool {
-        let now = self.clock.now();
-        let mut state = self.connection_state.lock();
-        let is_due = now.since(state.probed_at) >= CONNECTION_PROBE_INTERVAL;
-        let needs = is_due && std::mem::take(&mut state.is_suspected);
-        if needs {
-            state.probed_at = now;
-        }
-        needs
+    /// Records that a connection owes a response for long.
+    pub fn suspect_connections(&self, owing_since: Timestamp) {
+        let suspected = &mut self.connection_state.lock().suspected_since;
+        *suspected = (*suspected).max(Some(owing_since));
     }
 
-    /// Records whether a health request got no response on a connection that was used before.
-    pub fn set_silent(&self, is_silent: bool) {
-        self.connection_state.lock().is_silent = is_silent;
-    }
-
-    /// Returns whether connections may be silent, as far as health requests found out.
-    pub fn is_silent(&self) -> bool {
-        self.connection_state.lock().is_silent
+    /// Returns the time before which a connection must have been opened to be compared with new
+    /// ones, if there is a suspicion; not again for a while.
+    pub fn take_suspicion(&self) -> Option<Timestamp> {
+        let now = self.backend.now();
+        let mut state = self.connection_state.lock();
+        if state.compared_at.is_some_and(|at| now.since(at) < COMPARISON_INTERVAL) {
+            return None;
+        }
+        let suspected_since = state.suspected_since.take()?;
+        state.compared_at = Some(now);
+        Some(suspected_since)
     }
 
     /// Returns the current time of its clock.
--- a/crates/cherrystream-net/src/activity.rs
+++ b/crates/cherrystream-net/src/activity.rs
@@ -35,7 +35,11 @@
 impl Activity {
     /// Creates the activity of a connection that is opened now.
     pub fn new() -> Arc<Activity> {
-        let clock = Clock::default();
+        Activity::on_clock(Clock::default())
+    }
+
+    /// Creates the activity of a connection that is opened now, with timestamps of a clock.
+    pub fn on_clock(clock: Clock) -> Arc<Activity> {
         let opened = clock.now();
         Arc::new(Activity {
             clock,
@@ -53,6 +57,11 @@
         self.clock.now()
     }
 
+    /// Returns when the connection was opened.
+    pub fn opened(&self) -> Timestamp {
+        self.opened
+    }
+
     /// Returns the traffic so far.
     pub fn traffic(&self) -> Traffic {
         *self.traffic.lock()
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -1,9 +1,11 @@
 //! Pool of HTTP/1.1 connections to one address. A connection returns to the pool only after a
 //! complete exchange.
 
+use crate::activity::{Activity, Observed};
 use crate::body::{self, Body, Ending, Watched};
 use crate::clock::Clock;
 use crate::late_answers::{Exchanges, Filtered};
+use cherrystream_core::silent_connections::{Evidence, FreshAnswer};
 use cherrystream_core::units::Timestamp;
 use http::{HeaderMap, HeaderName, Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -11,7 +13,7 @@
 use parking_lot::Mutex;
 use prometheus_client::metrics::counter::Counter;
 use std::io::ErrorKind;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -59,19 +61,30 @@
 struct Idle {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
+    activity: Arc<Activity>,
     since: Timestamp,
     /// Idle time after which it is closed.
     timeout: Duration,
 }
 
+/// What health requests have shown of the connections.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// Time before which connections went silent.
+    distrusted_before: Timestamp,
+    /// The last answer on a connection that was opened for it.
+    fresh: Option<FreshAnswer>,
+}
+
 /// Connections to one address.
 pub struct Pool {
     address: String,
     /// Header that carries the identifier of a request in its response.
     id: Option<HeaderName>,
     idle: Arc<Mutex<Vec<Idle>>>,
-    /// Time before which its connections went silent, as far as is known.
-    distrusted_before: watch::Sender<Timestamp>,
+    /// Activities of its open connections.
+    open: Mutex<Vec<Weak<Activity>>>,
+    known: watch::Sender<Known>,
     connects: Counter,
     clock: Clock,
 }
@@ -79,9 +92,15 @@
 impl Pool {
     /// Creates an empty pool. `connects` counts the connections that it opens.
     pub fn new(address: &str, connects: Counter) -> Pool {
-        let (idle, clock) = (Arc::default(), Clock::default());
-        let distrusted_before = watch::Sender::new(Timestamp::default());
-        Pool { address: address.into(), id: None, idle, distrusted_before, connects, clock }
+        Pool {
+            address: address.into(),
+            id: None,
+            idle: Arc::default(),
+            open: Mutex::default(),
+            known: watch::Sender::default(),
+            connects,
+            clock: Clock::default(),
+        }
     }
 
     /// Sets the header that carries the identifier of a request in its response. Enables discarding
@@ -120,9 +139,18 @@
 
     /// Returns an idle connection, if there is one.
     pub fn idle_connection(&self) -> Option<Connection> {
-        let Idle { sender, exchanges, .. } = self.take_idle()?;
+        self.take_idle(Timestamp(u64::MAX)).map(|idle| self.reuse(idle))
+    }
+
+    /// Returns an idle connection that was opened before a time, if there is one.
+    pub fn idle_connection_opened_before(&self, time: Timestamp) -> Option<Connection> {
+        self.take_idle(time).map(|idle| self.reuse(idle))
+    }
+
+    fn reuse(&self, idle: Idle) -> Connection {
+        let Idle { sender, exchanges, activity, .. } = idle;
         let (idle, clock) = (self.idle.clone(), self.clock);
-        Some(Connection { sender, exchanges, idle, clock, is_reused: true })
+        Connection { sender, exchanges, activity, idle, clock, is_reused: true }
     }
 
     /// Returns the current time on the clock of the pool.
@@ -134,18 +162,38 @@
     /// silent since, while new ones work.
     pub fn distrust(&self, before: Timestamp) {
         self.idle.lock().retain(|idle| idle.since >= before);
-        self.distrusted_before.send_if_modified(|known| {
-            let is_later = before > *known;
-            *known = before.max(*known);
+        self.known.send_if_modified(|known| {
+            let is_later = before > known.distrusted_before;
+            known.distrusted_before = before.max(known.distrusted_before);
             is_later
         });
     }
 
-    /// Waits until the connections that were in use at a time are distrusted.
-    pub async fn distrusted(&self, in_use_at: Timestamp) {
-        let mut before = self.distrusted_before.subscribe();
-        // The wait cannot fail, since this value owns the sender.
-        let _ = before.wait_for(|before| *before > in_use_at).await;
+    /// Records an answer on a connection that was opened for it.
+    pub fn on_fresh_answer(&self, fresh: FreshAnswer) {
+        self.known.send_modify(|known| known.fresh = Some(fresh));
+    }
+
+    /// Returns what is known for a connection that owes a response since a time.
+    pub fn evidence(&self, owing_since: Timestamp) -> Evidence {
+        let Known { distrusted_before, fresh } = *self.known.borrow();
+        let open = self.open.lock();
+        let mut activities = open.iter().filter_map(Weak::upgrade);
+        let has_older_answered = activities.any(|activity| {
+            activity.opened() < owing_since && activity.traffic().last_received() > owing_since
+        });
+        Evidence { distrusted_before, fresh, has_older_answered }
+    }
+
+    /// Returns a future that completes once more is known of the connections.
+    pub fn more_known(&self) -> impl Future<Output = ()> + use<> {
+        let mut known = self.known.subscribe();
+        async move {
+            // The pool, and with it all requests, may have been replaced.
+            if known.changed().await.is_err() {
+                std::future::pending().await
+            }
+        }
     }
 
     /// Opens a connection without sending anything, and returns what happens to it.
@@ -172,12 +220,18 @@
         let stream = TcpStream::connect(&self.address).await.map_err(|_| NoAnswer::NotSent)?;
         let _ = stream.set_nodelay(true);
         let exchanges = Exchanges::new(self.id.clone());
+        let activity = Activity::on_clock(self.clock);
+        let stream = Observed::new(stream, activity.clone());
         let io = TokioIo::new(Filtered::new(stream, exchanges.clone()));
         let (sender, connection) = http1::handshake(io).await.map_err(|_| NoAnswer::NotSent)?;
         tokio::spawn(connection);
         self.connects.inc();
+        let mut open = self.open.lock();
+        open.retain(|activity| activity.strong_count() > 0);
+        open.push(Arc::downgrade(&activity));
+        drop(open);
         let (idle, clock) = (self.idle.clone(), self.clock);
-        Ok(Connection { sender, exchanges, idle, clock, is_reused: false })
+        Ok(Connection { sender, exchanges, activity, idle, clock, is_reused: false })
     }
 
     /// Sends a request on a connection.
@@ -205,12 +259,14 @@
         Err(NoAnswer::NotSent)
     }
 
-    /// Takes a usable connection out of the pool, after closing expired ones.
-    fn take_idle(&self) -> Option<Idle> {
+    /// Takes a usable connection that was opened before a time out of the pool, after closing expired
+    /// ones.
+    fn take_idle(&self, opened_before: Timestamp) -> Option<Idle> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         idle.retain(|i| !i.sender.is_closed() && now.since(i.since) < i.timeout);
-        let ready = idle.iter().rposition(|i| i.sender.is_ready())?;
+        let is_usable = |i: &Idle| i.sender.is_ready() && i.activity.opened() < opened_before;
+        let ready = idle.iter().rposition(is_usable)?;
         Some(idle.remove(ready))
     }
 }
@@ -219,6 +275,7 @@
 pub struct Connection {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
+    activity: Arc<Activity>,
     idle: Arc<Mutex<Vec<Idle>>>,
     clock: Clock,
     is_reused: bool,
@@ -230,15 +287,20 @@
         self.is_reused
     }
 
+    /// Returns the activity of the connection.
+    pub fn activity(&self) -> &Arc<Activity> {
+        &self.activity
+    }
+
     /// Returns the connection to the pool once the response body is read to its end.
     fn watch(self, res: Response<hyper::body::Incoming>) -> Response<Body> {
         let (parts, incoming) = res.into_parts();
-        let Connection { sender, exchanges, idle, clock, .. } = self;
+        let Connection { sender, exchanges, activity, idle, clock, .. } = self;
         let timeout = idle_timeout(&parts.headers);
         let body = Watched::watch(body::incoming(incoming), move |ending| {
             let mut idle = idle.lock();
             if ending == Ending::Whole && idle.len() < MAX_IDLE {
-                idle.push(Idle { sender, exchanges, since: clock.now(), timeout });
+                idle.push(Idle { sender, exchanges, activity, since: clock.now(), timeout });
             }
         });
         Response::from_parts(parts, body)
--- a/crates/cherrystream-net/tests/silent_pool.rs
+++ b/crates/cherrystream-net/tests/silent_pool.rs
@@ -1,10 +1,10 @@
 //! Pooled connections that are distrusted because connections to their address went silent.
 
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::body::{self, Start};
 use cherrystream_net::pool::{Connection, Pool};
 use http::Response;
 use prometheus_client::metrics::counter::Counter;
-use std::future::Future;
 use std::time::Duration;
 
 async fn pool() -> Pool {
@@ -24,8 +24,8 @@
     tokio::time::sleep(Duration::from_millis(20)).await;
 }
 
-async fn is_ready(future: impl Future<Output = ()>) -> bool {
-    tokio::time::timeout(Duration::from_millis(20), future).await.is_ok()
+fn is_distrusted(pool: &Pool, owing_since: Timestamp) -> bool {
+    owing_since < pool.evidence(owing_since).distrusted_before
 }
 
 /// Guards against requests on idle connections that died with one that was found out.
@@ -48,12 +48,27 @@
 async fn only_requests_sent_before_the_silence_was_found_out_are_lost() {
     let pool = pool().await;
     let sent_at = pool.now();
-    assert!(!is_ready(pool.distrusted(sent_at)).await);
-    let known_at = pool.now();
+    assert!(!is_distrusted(&pool, sent_at));
+    let (more_known, known_at) = (pool.more_known(), pool.now());
     pool.distrust(known_at);
-    assert!(is_ready(pool.distrusted(sent_at)).await);
-    assert!(!is_ready(pool.distrusted(known_at)).await);
+    assert!(tokio::time::timeout(Duration::from_millis(20), more_known).await.is_ok());
+    assert!(is_distrusted(&pool, sent_at));
+    assert!(!is_distrusted(&pool, known_at));
     // An earlier time does not restore trust.
     pool.distrust(sent_at);
-    assert!(is_ready(pool.distrusted(sent_at)).await);
+    assert!(is_distrusted(&pool, sent_at));
+}
+
+/// Guards against taking a slow response for a lost one while connections of its age answer, and
+/// against excusing it by the answers of younger ones.
+#[tokio::test]
+async fn only_an_answer_on_an_older_connection_excuses_a_late_response() {
+    let pool = pool().await;
+    let old = pool.connect().await.unwrap();
+    let owing_since = pool.now();
+    let new = pool.connect().await.unwrap();
+    use_once(&pool, new).await;
+    assert!(!pool.evidence(owing_since).has_older_answered);
+    use_once(&pool, old).await;
+    assert!(pool.evidence(owing_since).has_older_answered);
 }
--- a/crates/cherrystream/tests/processes/silent_calls.rs
+++ b/crates/cherrystream/tests/processes/silent_calls.rs
@@ -7,6 +7,8 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
 /// Concurrent callers: more than the retry budget of a service covers.
@@ -283,3 +285,71 @@
     println!("{} of {} refused", refused.len(), ends.len());
     assert!(refused.is_empty(), "{:?}", refused[0].end);
 }
+
+/// Delay between the head and the body of an answer.
+const BODY_DELAY: Duration = Duration::from_millis(40);
+/// Body of an answer whose parts are sent one after the other.
+const SPLIT_BODY: &str = "split";
+
+/// Serves requests on one connection: sends the body of each answer some time after its head.
+async fn answer_in_parts(mut stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut received = Vec::new();
+    loop {
+        while !received.ends_with(b"\r\n\r\n") {
+            if stream.read_buf(&mut received).await? == 0 {
+                return Ok(());
+            }
+        }
+        received.clear();
+        tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", SPLIT_BODY.len());
+        stream.write_all(head.as_bytes()).await?;
+        tokio::time::sleep(BODY_DELAY).await;
+        stream.write_all(SPLIT_BODY.as_bytes()).await?;
+    }
+}
+
+/// Starts a backend server that answers in parts; returns its address.
+async fn start_split_server(site: &Site) -> String {
+    let listener = TcpListener::bind(site.address(7697)).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_in_parts(stream));
+        }
+    });
+    address
+}
+
+/// Guards against repeatable calls that wait until their deadline for the rest of an answer whose
+/// head has arrived, on connections that are known to be dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeatable_calls_survive_a_silence_between_head_and_body() {
+    let mut all = Vec::new();
+    for silenced in [Silenced::Both, Silenced::Back] {
+        let site = Site::with_control(1).await;
+        let daemon = site.start_daemon("host-a", "a", 1);
+        site.put_service("quotes").await;
+        let server = start_split_server(&site).await;
+        let relay = Relay::start(&site.address(7698), &server).await;
+        site.accept(json!({
+            "intent": "put-backend-server", "service": "quotes", "name": "quotes", "host": "host-a",
+            "address": relay.address, "slots": SLOTS
+        }))
+        .await;
+        site.in_force(&[&daemon]).await;
+        daemon.serves("quotes").await;
+        let until = Instant::now() + BEFORE + AFTER;
+        let mut callers = JoinSet::new();
+        for _ in 0..CALLERS {
+            callers.spawn(call_until(daemon.caller.clone(), PATIENCES[2], until));
+        }
+        tokio::time::sleep(BEFORE).await;
+        relay.silence(silenced);
+        let ends: Vec<Ended> = callers.join_all().await.into_iter().flatten().collect();
+        let lost = ends.into_iter().filter(|ended| ended.end != End::Answered);
+        all.extend(lost.map(|ended| format!("{silenced:?}: {:?}", ended.end)));
+    }
+    assert!(all.is_empty(), "{} calls were lost:\n{}", all.len(), all.join("\n"));
+}
