A request sent on a dead connection while its silence is being found is lost too

Cause: an overdue request was compared with the time before which connections are distrusted by when it was sent. It had been sent after the comparison began, on an idle connection whose last byte came before.

Evidence: a_request_sent_during_the_comparison_is_lost_too fails when the time of the request is compared.

Why it works: a connection is judged by its own last byte, whenever the request was sent.

--- a/crates/cherrystream-core/src/silent_connections.rs
+++ b/crates/cherrystream-core/src/silent_connections.rs
@@ -17,6 +17,8 @@
 pub struct Owing {
     /// When the request was sent, or the last byte was received if that is later.
     pub since: Timestamp,
+    /// When the last byte was received, or the connection was opened.
+    pub last_received: Timestamp,
     /// Time after which a response is far later than usual.
     pub patience: Duration,
     /// Whether the usual time is known, so that lateness alone means something.
@@ -57,7 +59,7 @@
     if now < owing.overdue_at() {
         return false;
     }
-    owing.since < evidence.distrusted_before || is_outlived(now, owing, evidence)
+    owing.last_received < evidence.distrusted_before || is_outlived(now, owing, evidence)
 }
 
 /// Returns whether only new connections work, as far as is known: no older one has answered, and a
--- a/crates/cherrystream-core/tests/silent_connections.rs
+++ b/crates/cherrystream-core/tests/silent_connections.rs
@@ -11,7 +11,7 @@
 }
 
 fn owing() -> Owing {
-    Owing { since: at(1_000), patience: PATIENCE, is_usual_known: true }
+    Owing { since: at(1_000), last_received: at(900), patience: PATIENCE, is_usual_known: true }
 }
 
 fn fresh(asked: u64) -> Option<FreshAnswer> {
@@ -30,10 +30,19 @@
 /// Guards against giving up a connection that received a byte after the silence was found.
 #[test]
 fn a_connection_that_received_a_byte_since_is_kept() {
-    let evidence = Evidence { distrusted_before: at(1_000), ..Evidence::default() };
+    let evidence = Evidence { distrusted_before: at(900), ..Evidence::default() };
     assert!(!is_silent(at(9_000), owing(), &evidence));
 }
 
+/// Guards against a request that is sent on a dead connection while the silence is being found, and
+/// waits for ever.
+#[test]
+fn a_request_sent_during_the_comparison_is_lost_too() {
+    let evidence = Evidence { distrusted_before: at(950), ..Evidence::default() };
+    assert!(!is_silent(at(1_499), owing(), &evidence));
+    assert!(is_silent(at(1_500), owing(), &evidence));
+}
+
 /// Guards against waiting for ever where no idle connection can be compared, and against taking the
 /// answers of a server that has just resumed for a silence.
 #[test]
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -55,7 +55,7 @@
 
     /// Waits until the connection is known to be silent.
     async fn lost(&self, kind: &str) {
-        self.server.lost(kind, || self.owing_since()).await;
+        self.server.lost(kind, &self.activity, self.sent_at).await;
     }
 }
 
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -21,6 +21,7 @@
 use cherrystream_core::slowness;
 use cherrystream_core::suspects::CrashDetector;
 use cherrystream_core::units::Timestamp;
+use cherrystream_net::activity::Activity;
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{HealthResponse, ServerLoad};
 use cherrystream_net::pool::Pool;
@@ -155,13 +156,15 @@
     }
 
     /// Waits until the connection of a request is known to be silent: its response takes far longer
-    /// than usual, and other connections show that it is not for the backend server. `owing_since`
-    /// returns since when bytes are owed, on the clock of the pool.
-    pub async fn lost(&self, kind: &str, owing_since: impl Fn() -> Timestamp) {
+    /// than usual, and other connections show that it is not for the backend server. `sent_at` is on
+    /// the clock of the pool.
+    pub async fn lost(&self, kind: &str, activity: &Activity, sent_at: Timestamp) {
         let typical = self.inner.lock().service_times.typical(kind);
         let (patience, is_usual_known) = (loss_timeout(typical), typical.is_some());
         loop {
-            let owing = Owing { since: owing_since(), patience, is_usual_known };
+            let last_received = activity.traffic().last_received();
+            let since = last_received.max(sent_at);
+            let owing = Owing { since, last_received, patience, is_usual_known };
             let now = self.backend.now();
             let wait = owing.overdue_at().since(now);
             if !wait.is_zero() {
