A granted retry that an inbound refuses is not paid for again

Cause: the retry after a silence is free, but the server chosen for it refused the request without having run it, and the retry in place of that one was charged to the budget, which was used up.

Evidence: a_granted_retry_that_was_refused_is_not_paid_for_again fails when any retry of a request that has reached a server is charged.

Why it works: the budget limits how often requests reach more than one server. A retry that was granted, free or paid, and refused before it reached one still stands for the next.

--- a/crates/cherrystream-core/src/retry.rs
+++ b/crates/cherrystream-core/src/retry.rs
@@ -97,6 +97,9 @@
     pub arrivals: u32,
     /// Largest number of backend servers that the request may reach.
     pub max_arrivals: u32,
+    /// Number of retries granted so far that reach another backend server. One that was refused
+    /// before has not been used.
+    pub granted: u32,
 }
 
 /// Returns whether to make another attempt, and spends it from the budget and the allowance.
@@ -104,7 +107,7 @@
 /// A request that was proved not run may be retried on another backend server whatever its kind.
 /// One that may have run is retried only if it is repeatable and its allowance is not used up. The
 /// budget limits requests that reach backend servers more than once, so retries after refusals by
-/// an inbound do not count.
+/// an inbound do not count, nor does a retry in place of one that was granted and then refused.
 pub fn decide(failed: FailedAttempt, budget: &mut RetryBudget, allowance: &mut Allowance) -> bool {
     let exhausted = failed.arrivals >= failed.max_arrivals;
     if !failed.replayable || failed.attempts >= MAX_ATTEMPTS || exhausted {
@@ -113,7 +116,8 @@
     match failed.reason.outcome() {
         Outcome::Answered => false,
         Outcome::NotRun => {
-            failed.reason.try_elsewhere() && (failed.arrivals == 0 || budget.try_spend())
+            let is_granted = failed.granted >= failed.arrivals;
+            failed.reason.try_elsewhere() && (is_granted || budget.try_spend())
         }
         Outcome::Unknown => {
             let may = failed.repeatable && failed.reason != Reason::DeadlinePassed;
--- a/crates/cherrystream-core/tests/decisions.rs
+++ b/crates/cherrystream-core/tests/decisions.rs
@@ -140,6 +140,28 @@
     insta::assert_snapshot!(s.0);
 }
 
+/// Guards against losing a request to silence because the retry that it was granted is refused by
+/// an inbound while the budget is used up.
+#[test]
+fn a_granted_retry_that_was_refused_is_not_paid_for_again() {
+    let mut budget = RetryBudget::new(0.0);
+    let mut allowance = Allowance::new(None);
+    let silent = FailedAttempt {
+        reason: Reason::PeerSilent,
+        attempts: 1,
+        repeatable: true,
+        replayable: true,
+        arrivals: 1,
+        max_arrivals: 4,
+        granted: 0,
+    };
+    assert!(retry::decide(silent, &mut budget, &mut allowance));
+    let refused = FailedAttempt { reason: Reason::QueueFull, attempts: 2, granted: 1, ..silent };
+    assert!(retry::decide(refused, &mut budget, &mut allowance));
+    let reached = FailedAttempt { reason: Reason::BackendServerRefused, arrivals: 2, ..refused };
+    assert!(!retry::decide(reached, &mut budget, &mut allowance));
+}
+
 #[test]
 fn retries_session() {
     let mut s = Session::default();
@@ -148,7 +170,15 @@
     let failed = |reason: Reason, attempts, repeatable| {
         let arrivals = u32::from(reason.reached_server());
         let replayable = true;
-        FailedAttempt { reason, attempts, repeatable, replayable, arrivals, max_arrivals: 4 }
+        FailedAttempt {
+            reason,
+            attempts,
+            repeatable,
+            replayable,
+            arrivals,
+            max_arrivals: 4,
+            granted: 0,
+        }
     };
     let mut decide = |what: &str, failed: FailedAttempt, allowance: &mut Allowance| {
         s.event(what, retry::decide(failed, &mut budget, allowance));
--- a/crates/cherrystream-core/tests/nested_calls.rs
+++ b/crates/cherrystream-core/tests/nested_calls.rs
@@ -119,6 +119,7 @@
             replayable: true,
             arrivals: 0,
             max_arrivals: 2,
+            granted: 0,
         };
         if !retry::decide(failed, &mut budget, &mut allowance) {
             return false;
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -64,6 +64,8 @@
     pub(super) arrivals: u32,
     /// Largest number of backend servers that it may reach.
     pub(super) max_arrivals: u32,
+    /// Number of granted retries that reach another backend server.
+    pub(super) granted_retries: u32,
     /// Number of attempts in flight, including hedged ones.
     pub(super) in_flight: Arc<AtomicUsize>,
     /// Failure of an attempt that may have run.
@@ -141,6 +143,7 @@
             attempts: 0,
             arrivals: 0,
             max_arrivals: 1,
+            granted_retries: 0,
             in_flight: self.in_flight.clone(),
             unknown_outcome: None,
             selective_offers: 1,
@@ -323,6 +326,7 @@
         draining_refusals: 0,
         attempts: 0,
         arrivals: 0,
+        granted_retries: 0,
         in_flight: Arc::default(),
         unknown_outcome: None,
         selective_offers,
--- a/crates/cherrystream-daemon/src/outbound/retrying.rs
+++ b/crates/cherrystream-daemon/src/outbound/retrying.rs
@@ -63,6 +63,7 @@
             replayable: call.body.is_replayable(),
             arrivals: call.arrivals,
             max_arrivals: call.max_arrivals,
+            granted: call.granted_retries,
         };
         let label = metrics::label(refused.reason);
         let is_limited = refused.reason == Reason::OverServerLimit && self.all_limited(call);
@@ -71,6 +72,7 @@
                 retry::decide(failed, &mut balancer.lock().budget, &mut call.allowance)
             });
         if may {
+            call.granted_retries = call.arrivals;
             self.metrics.retries.get_or_create(&label).inc();
             return Ok(());
         }
