Control and daemons log what waits: reads at the leader, and attempts whose caller leaves

A read at the leader left no line when its caller left, and nothing told what it waited for. Failed and cancelled operator calls at the leader are counted and logged like those of followers, and while a read waits for 0.5 s the leader logs, twice a second at most, the round, what each replica has acknowledged, and what is queued and in flight to it. An attempt whose caller leaves after 0.2 s or more has a line with its backend server; a request had none until it ended.

--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -32,8 +32,19 @@
 /// Longest wait for another replica to become the leader.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Age of a read from which the state of the replication is logged.
+const SLOW_READ: Duration = Duration::from_millis(500);
+/// Shortest time between two such lines.
+const SLOW_READ_LOG_INTERVAL: Duration = Duration::from_millis(500);
+
 type Waiter = oneshot::Sender<std::result::Result<Applied, NoResult>>;
 
+/// A read that a quorum has not confirmed.
+struct PendingRead {
+    reply: oneshot::Sender<std::result::Result<u64, NoResult>>,
+    since: Timestamp,
+}
+
 /// State of the driver thread.
 pub struct Driver<F> {
     pub(crate) raft: Raft,
@@ -51,8 +62,10 @@
     pub(crate) applier: Applier,
     pub(crate) snapshot_bytes: u64,
     waiters: BTreeMap<Position, Waiter>,
-    reads: BTreeMap<u64, oneshot::Sender<std::result::Result<u64, NoResult>>>,
+    reads: BTreeMap<u64, PendingRead>,
     next_read: u64,
+    /// When reads that wait for long were last logged.
+    slow_reads_logged_at: Timestamp,
     leadership_transfer: Option<(Instant, oneshot::Sender<()>)>,
     was_leader: bool,
     /// Snapshot that another thread is creating.
@@ -135,6 +148,7 @@
         waiters: BTreeMap::new(),
         reads: BTreeMap::new(),
         next_read: 0,
+        slow_reads_logged_at: Timestamp::default(),
         leadership_transfer: None,
         was_leader: false,
         pending_snapshot: None,
@@ -174,6 +188,7 @@
             self.raft.flush_reads(now);
             self.process_ready()?;
             self.publish();
+            self.log_slow_reads();
             self.poll_snapshots()?;
         }
     }
@@ -198,7 +213,7 @@
                 self.next_read += 1;
                 match self.raft.read(now, self.next_read) {
                     Ok(()) => {
-                        self.reads.insert(self.next_read, reply);
+                        self.reads.insert(self.next_read, PendingRead { reply, since: now });
                     }
                     Err(e) => {
                         let _ = reply.send(Err(NoResult::NotLeader { leader: e.leader }));
@@ -285,8 +300,8 @@
         self.peers.send(ready.messages_after_save);
         self.applier.apply(ready.committed);
         for read in ready.reads {
-            if let Some(reply) = self.reads.remove(&read.ticket) {
-                let _ = reply.send(Ok(read.index));
+            if let Some(pending) = self.reads.remove(&read.ticket) {
+                let _ = pending.reply.send(Ok(read.index));
             }
         }
         self.need_snapshot.extend(ready.need_snapshot);
@@ -359,6 +374,36 @@
         });
     }
 
+    /// Logs the state of the replication while reads wait for long.
+    fn log_slow_reads(&mut self) {
+        let now = self.clock.now();
+        let Some(oldest) = self.reads.values().map(|read| read.since).min() else { return };
+        let is_due = now.since(self.slow_reads_logged_at) >= SLOW_READ_LOG_INTERVAL;
+        if now.since(oldest) < SLOW_READ || !is_due {
+            return;
+        }
+        self.slow_reads_logged_at = now;
+        let (round, commit, applied) = (self.raft.round(), self.raft.commit(), self.applied.index);
+        log::info!(
+            "control: {} reads wait, the oldest for {:?}: round={round} commit={commit} \
+             applied={applied}",
+            self.reads.len(),
+            now.since(oldest)
+        );
+        for view in self.raft.replica_views() {
+            log::info!(
+                "control: replica {} votes={} acked_round={} match={} next={} seen {:?} ago; {}",
+                view.id,
+                view.votes,
+                view.acked_round,
+                view.match_index,
+                view.next,
+                now.since(view.last_seen),
+                self.peers.describe(view.id)
+            );
+        }
+    }
+
     fn record_leader(&self, status: LogStatus) {
         let (id, term) = (self.raft.id(), status.term);
         match status.leader {
@@ -396,7 +441,7 @@
             let _ = waiter.send(Err(NoResult::Unknown));
         }
         for (_, read) in std::mem::take(&mut self.reads) {
-            let _ = read.send(Err(NoResult::Unknown));
+            let _ = read.reply.send(Err(NoResult::Unknown));
         }
     }
 
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -56,10 +56,12 @@
     /// Handles a call on the leader; forwards it if another replica leads.
     pub async fn answer(&self, call: OperatorCall) -> OperatorAnswer {
         let status = *self.handle.status.borrow();
+        let mut trace = self.traces.start(CallKind::Operator);
         if status.leads {
-            return self.answer_here(&call).await;
+            let answer = self.answer_here(&call).await;
+            trace.finish(answer.status != NO_RESULT_STATUS);
+            return answer;
         }
-        let mut trace = self.traces.start(CallKind::Operator);
         trace.reach(Step::Leader);
         // All operator calls are idempotent: intents have a key or only create plans.
         let answer = match status.leader {
@@ -464,6 +466,9 @@
     error(e.status(), &e.to_string(), &e.remedy())
 }
 
+/// Status of an answer without a result.
+const NO_RESULT_STATUS: u16 = 503;
+
 fn no_result(e: NoResult) -> OperatorAnswer {
     match e {
         NoResult::NotLeader { .. } => no_leader(),
@@ -473,10 +478,14 @@
 
 fn no_leader() -> OperatorAnswer {
     let what = "the control group has no leader that can be reached";
-    error(503, what, "nothing was done; check with `status` that a majority runs, then try again")
+    error(
+        NO_RESULT_STATUS,
+        what,
+        "nothing was done; check with `status` that a majority runs, then try again",
+    )
 }
 
 fn unknown_outcome() -> OperatorAnswer {
     let what = "it is not known whether the change was accepted";
-    error(503, what, "send the same call again: it gets the same reply and runs once")
+    error(NO_RESULT_STATUS, what, "send the same call again: it gets the same reply and runs once")
 }
--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -105,6 +105,11 @@
         self.queues.get(&to)?.snapshot_index()
     }
 
+    /// Returns a description of what is queued for a replica and in flight, for logs.
+    pub fn describe(&self, to: u64) -> String {
+        self.queues.get(&to).map(|queue| queue.describe()).unwrap_or_default()
+    }
+
     /// Returns the lowest index of the snapshots that are being sent.
     pub fn lowest_snapshot_index(&self) -> Option<u64> {
         self.queues.values().filter_map(|queue| queue.snapshot_index()).min()
--- a/crates/cherrystream-control/src/queue.rs
+++ b/crates/cherrystream-control/src/queue.rs
@@ -94,6 +94,11 @@
         self.outbox.lock().drop_long();
     }
 
+    /// Returns a description of what is queued and in flight, for logs.
+    pub(crate) fn describe(&self) -> String {
+        self.outbox.lock().describe()
+    }
+
     /// Returns the index of the snapshot that is being sent.
     pub(crate) fn snapshot_index(&self) -> Option<u64> {
         self.outbox.lock().snapshot_index(self.clock.now())
--- a/crates/cherrystream-core/src/raft/leader.rs
+++ b/crates/cherrystream-core/src/raft/leader.rs
@@ -48,6 +48,10 @@
     pub votes: bool,
     /// Time of its last message.
     pub last_seen: Timestamp,
+    /// First index that was not sent to it yet.
+    pub next: u64,
+    /// Last heartbeat round that it acknowledged.
+    pub acked_round: u64,
 }
 
 impl Raft {
@@ -151,10 +155,20 @@
             match_index: p.match_index,
             votes: self.is_voting(*id, p),
             last_seen: p.last_seen,
+            next: p.next,
+            acked_round: p.acked_round,
         };
         state.progress.iter().map(view).collect()
     }
 
+    /// Returns the last heartbeat round; 0 if this replica is not the leader.
+    pub fn round(&self) -> u64 {
+        match &self.role {
+            Role::Leader(state) => state.round,
+            _ => 0,
+        }
+    }
+
     pub(super) fn tick_leader(&mut self, now: Timestamp) {
         let Role::Leader(state) = &mut self.role else { return };
         if state.transfer_until.is_some_and(|until| now >= until) {
--- a/crates/cherrystream-core/src/transfer/outbox.rs
+++ b/crates/cherrystream-core/src/transfer/outbox.rs
@@ -160,6 +160,25 @@
         self.term
     }
 
+    /// Returns a description of what is queued and in flight, for logs.
+    pub fn describe(&self) -> String {
+        let in_flight = self.in_flight.as_ref().map_or_else(
+            || "none".into(),
+            |t| {
+                format!("{:?} left {:.2} abandoned {}", t.content.span(), t.share_left, t.abandoned)
+            },
+        );
+        format!(
+            "short {} in {} messages, of which {} in the call; long {} in {} messages, in flight \
+             {in_flight}",
+            self.short_bytes,
+            self.short.len(),
+            self.call_bytes,
+            self.long_bytes,
+            self.long.len(),
+        )
+    }
+
     /// Returns the number of messages dropped since the last call.
     pub fn take_dropped(&mut self) -> u64 {
         std::mem::take(&mut self.dropped)
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -45,8 +45,9 @@
     ) -> AttemptResult {
         let started = self.clock.now();
         let max_wait = self.remaining_wait(call);
-        let _flight = InFlightGuard::start(self, call, server);
+        let mut flight = InFlightGuard::start(self, call, server);
         let result = self.attempt_within(call, current, server, claimed).await;
+        flight.has_ended = true;
         let took = self.clock.now().since(started);
         self.with_server(call, server, |s, now| match &result {
             Ok(res) if res.status().is_server_error() => s.on_error(now),
@@ -350,6 +351,8 @@
     service: Arc<str>,
     server: Arc<str>,
     call_id: Option<CallId>,
+    started: units::Timestamp,
+    has_ended: bool,
 }
 
 impl InFlightGuard<'_> {
@@ -360,12 +363,19 @@
             service: call.service.clone(),
             server: server.name.clone(),
             call_id,
+            started: outbound.clock.now(),
+            has_ended: false,
         }
     }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
+        if !self.has_ended {
+            let now = self.outbound.clock.now();
+            let waited = now.since(self.started);
+            self.outbound.request_log.cancelled(now, &self.service, &self.server, waited);
+        }
         let Some(balancer) = self.outbound.balancer(&self.service) else { return };
         if let (Some(call_id), Some(server)) = (self.call_id, balancer.lock().server(&self.server))
         {
--- a/crates/cherrystream-daemon/src/request_log.rs
+++ b/crates/cherrystream-daemon/src/request_log.rs
@@ -8,6 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Shortest wait of an attempt that is logged if its caller leaves.
+const LONG_WAIT: Duration = Duration::from_millis(200);
+
 /// Summary of a finished request.
 #[derive(Clone, Debug, Default)]
 pub struct RequestSummary {
@@ -40,6 +43,19 @@
 }
 
 impl RequestLog {
+    /// Logs an attempt whose caller left before its result, if it waited for long.
+    pub fn cancelled(&self, now: Timestamp, service: &str, server: &str, waited: Duration) {
+        if waited < LONG_WAIT {
+            return;
+        }
+        let Some(dropped) = self.budget.lock().take(now, true) else { return };
+        log::info!(
+            "request: attempt cancelled: service={service} server={server} waited_ms={} \
+             lines_dropped={dropped}",
+            waited.as_millis(),
+        );
+    }
+
     /// Logs a finished request. `refused_for` is the reason of a refusal, or `None` if a backend
     /// server answered.
     pub fn finish(
