A backend server behind a full link is avoided, however fast it reports to be

Cause: the choice believes the latency that a server reports, which does not include the way to its host, and the fewer requests get through, the better the report. A stall was measured against the observed latency, which grows with the slow path, and a caller that leaves took what its wait had shown with it.

Why it works: a request that waits for five times the reported latency and 0.5 s shows a stall too, and one whose caller leaves after such a wait counts as a failure. Both fade within seconds, so that the server is tried again. 0.5 s leaves out transfers of usual bodies.

--- a/crates/cherrystream-core/src/choose/server.rs
+++ b/crates/cherrystream-core/src/choose/server.rs
@@ -25,6 +25,9 @@
 const STALL_FACTOR: f64 = 5.0;
 /// Smallest age of a request in flight that indicates a stall.
 const MIN_STALL_AGE: Duration = Duration::from_millis(15);
+/// Smallest age of a request in flight that indicates a stall by the reported latency alone, which
+/// does not include the way to the host and the transfer of the body.
+const MIN_PATH_STALL_AGE: Duration = Duration::from_millis(500);
 /// Validity of a load report that a backend server accepts no work.
 const CLOSED_TTL: Duration = Duration::from_secs(2);
 /// Backoff after a refusal because the backend server or its host accepts no work.
@@ -143,6 +146,15 @@
         self.in_flight.remove(&sent.0);
     }
 
+    /// Records that the caller of a request in flight has left. If it waited far longer than usual,
+    /// this counts as a failure: callers that leave early would otherwise hide a stall.
+    pub fn on_abandoned(&mut self, now: Timestamp, sent: CallId) {
+        let sent_at = self.in_flight.remove(&sent.0);
+        if sent_at.is_some_and(|sent_at| self.is_stall(now.since(sent_at))) {
+            self.on_error(now);
+        }
+    }
+
     /// Records the latency of a successful answer.
     pub fn on_answer(&mut self, took: Duration) {
         let mean = self.latency.as_secs_f64();
@@ -323,8 +335,16 @@
     }
 
     fn is_stalled(&self, now: Timestamp) -> bool {
-        let Some(oldest) = self.in_flight.values().next() else { return false };
-        let age = now.since(*oldest);
-        age > MIN_STALL_AGE && age > self.latency.mul_f64(STALL_FACTOR)
+        self.in_flight.values().next().is_some_and(|oldest| self.is_stall(now.since(*oldest)))
+    }
+
+    /// Returns whether a request without an answer indicates a stall at an age. The observed latency
+    /// grows with a slow path to the host, so the reported one counts too: a backend server that
+    /// few requests reach reports that it is fast.
+    fn is_stall(&self, age: Duration) -> bool {
+        let is_beyond = |latency: Duration| age > latency.mul_f64(STALL_FACTOR);
+        let is_path_stalled =
+            self.report.is_some() && age > MIN_PATH_STALL_AGE && is_beyond(self.latency_estimate());
+        is_path_stalled || age > MIN_STALL_AGE && is_beyond(self.latency)
     }
 }
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -371,15 +371,19 @@
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
+        let now = self.outbound.clock.now();
         if !self.has_ended {
-            let now = self.outbound.clock.now();
             let waited = now.since(self.started);
             self.outbound.request_log.cancelled(now, &self.service, &self.server, waited);
         }
         let Some(balancer) = self.outbound.balancer(&self.service) else { return };
-        if let (Some(call_id), Some(server)) = (self.call_id, balancer.lock().server(&self.server))
-        {
-            server.on_ended(call_id);
+        let mut balancer = balancer.lock();
+        let (Some(call_id), Some(server)) = (self.call_id, balancer.server(&self.server)) else {
+            return;
+        };
+        match self.has_ended {
+            true => server.on_ended(call_id),
+            false => server.on_abandoned(now, call_id),
         }
     }
 }
