--- a/crates/cherrystream-core/tests/slow_paths.rs
+++ b/crates/cherrystream-core/tests/slow_paths.rs
@@ -70,6 +70,7 @@
         let mut table = table(policy);
         assert_eq!(choices(&mut table, 1, "slow-path"), 20);
         table.server("slow-path").unwrap().on_sent(ms(1));
+        table.server("loaded").unwrap().on_report(ms(699), report(9));
         assert_eq!(choices(&mut table, 700, "slow-path"), 0);
     }
 }
@@ -83,6 +84,8 @@
         let slow = table.server("slow-path").unwrap();
         let calls = [slow.on_sent(ms(1)), slow.on_sent(ms(1))];
         calls.into_iter().for_each(|call| slow.on_abandoned(ms(1_001), call));
+        slow.on_report(ms(1_001), report(0));
+        table.server("loaded").unwrap().on_report(ms(1_001), report(9));
         assert_eq!(choices(&mut table, 1_002, "slow-path"), 0);
         table.server("slow-path").unwrap().on_report(ms(9_000), report(0));
         table.server("loaded").unwrap().on_report(ms(9_000), report(9));
