A request that meets two silences is sent a third time

Cause: a call may cause one retry over all layers. After the first silence had used it, the request was sent without being watched, on a connection whose silence was found 50 ms later, and waited there for 2.5 s.

Evidence: a_second_silence_is_retried_too_but_not_by_the_layers_below fails if each silence needs a retry of its own.

Why it works: connections to a host and to its backend server go silent together where a network fails, and a request lost on them has not added load twice to a server that answers. Once the allowance was used for a silence, further ones are retried by this layer, up to the four attempts of a call. What is forwarded to the layers below stays 0, so that retries do not multiply.

--- a/crates/cherrystream-core/src/retry.rs
+++ b/crates/cherrystream-core/src/retry.rs
@@ -54,24 +54,42 @@
 /// A layer that retries subtracts the retry from the allowance that it forwards, so that retries
 /// of several layers do not multiply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Allowance(u32);
+pub struct Allowance {
+    left: u32,
+    /// Whether it was used after a silence. Further silences are then retried too, at this layer
+    /// only: connections to several hosts may go silent together.
+    is_used_for_silence: bool,
+}
 
 impl Allowance {
     /// Creates an allowance from the value that a call carries, if any.
     pub fn new(carried: Option<u32>) -> Allowance {
-        Allowance(carried.unwrap_or(ALLOWANCE).min(ALLOWANCE))
+        let left = carried.unwrap_or(ALLOWANCE).min(ALLOWANCE);
+        Allowance { left, is_used_for_silence: false }
     }
 
     /// Spends one retry, if any is left.
     pub fn take(&mut self) -> bool {
-        let can = self.0 > 0;
-        self.0 -= u32::from(can);
+        let can = self.left > 0;
+        self.left -= u32::from(can);
         can
     }
 
+    /// Spends one retry after a silence, unless one was spent so before. Returns whether the call
+    /// may be retried.
+    pub fn take_for_silence(&mut self) -> bool {
+        self.is_used_for_silence = self.is_used_for_silence || self.take();
+        self.is_used_for_silence
+    }
+
+    /// Returns whether the call may be retried after a silence.
+    pub const fn covers_silence(self) -> bool {
+        self.left > 0 || self.is_used_for_silence
+    }
+
     /// Returns the number of retries left, which is forwarded with the call.
     pub const fn left(self) -> u32 {
-        self.0
+        self.left
     }
 }
 
@@ -121,8 +139,10 @@
         }
         Outcome::Unknown => {
             let may = failed.repeatable && failed.reason != Reason::DeadlinePassed;
-            let is_free = is_connection_silent(failed.reason);
-            may && allowance.left() > 0 && (is_free || budget.try_spend()) && allowance.take()
+            match is_connection_silent(failed.reason) {
+                true => may && allowance.take_for_silence(),
+                false => may && allowance.left() > 0 && budget.try_spend() && allowance.take(),
+            }
         }
     }
 }
--- a/crates/cherrystream-core/tests/decisions.rs
+++ b/crates/cherrystream-core/tests/decisions.rs
@@ -162,6 +162,35 @@
     assert!(!retry::decide(reached, &mut budget, &mut allowance));
 }
 
+/// Guards against losing a request because the connections to two hosts, or to a host and its
+/// backend server, are silent one after the other.
+#[test]
+fn a_second_silence_is_retried_too_but_not_by_the_layers_below() {
+    let mut budget = RetryBudget::new(0.0);
+    let mut allowance = Allowance::new(None);
+    let silent = |reason, attempts| FailedAttempt {
+        reason,
+        attempts,
+        repeatable: true,
+        replayable: true,
+        arrivals: attempts,
+        max_arrivals: 4,
+        granted: attempts - 1,
+    };
+    let mut decide =
+        |reason, attempts| retry::decide(silent(reason, attempts), &mut budget, &mut allowance);
+    assert!(decide(Reason::PeerSilent, 1));
+    assert!(decide(Reason::BackendServerSilent, 2));
+    assert!(!decide(Reason::PeerBroke, 3));
+    assert!(!decide(Reason::PeerSilent, retry::MAX_ATTEMPTS));
+    assert_eq!(allowance.left(), 0);
+    assert!(!retry::decide(
+        silent(Reason::PeerSilent, 1),
+        &mut budget,
+        &mut Allowance::new(Some(0))
+    ));
+}
+
 #[test]
 fn retries_session() {
     let mut s = Session::default();
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -199,7 +199,7 @@
             && !self.alone
             && self.attempts + 1 < retry::MAX_ATTEMPTS
             && self.body.is_replayable()
-            && self.allowance.left() > 0
+            && self.allowance.covers_silence()
             && arrivals < self.max_arrivals as usize
     }
 
