Heartbeats overtake the entries that are sent to a replica

What operators saw: reads at the leader that took over 0.5 s, up to 21 at a time, when entries had to be sent (again) on links of 170 KB/s, as after a silence of all lines between replicas.

Cause: heartbeats and entries share one call at a time. A heartbeat that confirms reads waits for up to 64 KB of entries before it, 0.4 s on such a link, and more when entries are sent again on a connection that was just replaced.

Why it works: a heartbeat that would wait for entries goes out on a connection of its own, which is used only then. It depends on no entry: its previous index is lowered to what precedes the undelivered ones, so that no replica rejects it.

--- a/crates/cherrystream-control/src/peers.rs
+++ b/crates/cherrystream-control/src/peers.rs
@@ -26,6 +26,8 @@
 const MAX_SHARED_CALL_BYTES: usize = 25_000;
 /// Label of connections that carry short messages of the replicated log.
 const LOG_TRAFFIC: &str = "log";
+/// Label of connections that carry heartbeats while entries are sent.
+const HEARTBEAT_TRAFFIC: &str = "heartbeat";
 /// Label of connections that carry long messages of the replicated log.
 const TRANSFER_TRAFFIC: &str = "transfer";
 /// Label of connections that carry calls.
@@ -75,6 +77,7 @@
         for (id, connection) in others {
             let queue = Arc::new(Queue::new(metrics.clone()));
             tasks.spawn(send_short(connection.for_log(), queue.clone()));
+            tasks.spawn(send_heartbeats(connection.for_heartbeats(), queue.clone()));
             tasks.spawn(send_long(own, connection.for_transfers(), queue.clone()));
             queues.insert(*id, queue);
         }
@@ -146,6 +149,25 @@
     }
 }
 
+/// Sends heartbeats that would wait for entries, on a separate connection. The entries of one call
+/// take a third of a second on a slow link, and longer when they are sent again after a silence.
+async fn send_heartbeats(connection: ReplicaConnection, queue: Arc<Queue>) {
+    loop {
+        let heartbeat = queue.next_overtaking_heartbeat().await;
+        let Some(client) = connection.client_even_if_silent().await else {
+            tokio::time::sleep(RECONNECT_DELAY).await;
+            continue;
+        };
+        if let Err(e) = client.raft(vec![heartbeat]).await {
+            log::debug!(
+                "control: sending a heartbeat to replica at {} failed: {e}",
+                connection.address()
+            );
+            close_unless_answer(&client, &e);
+        }
+    }
+}
+
 /// Closes the connection of a call that failed without an answer.
 fn close_unless_answer(client: &Client, e: &ClientError) {
     if !rpc::is_answer(e) {
@@ -309,6 +331,12 @@
         self.with(LOG_TRAFFIC, opts)
     }
 
+    /// Creates a connection for heartbeats.
+    fn for_heartbeats(&self) -> ReplicaConnection {
+        let opts = ManagedClientOptions { keep_alive: Some(LOG_KEEP_ALIVE), ..self.opts.clone() };
+        self.with(HEARTBEAT_TRAFFIC, opts)
+    }
+
     /// Creates a connection for long messages.
     fn for_transfers(&self) -> ReplicaConnection {
         let opts =
--- a/crates/cherrystream-control/src/queue.rs
+++ b/crates/cherrystream-control/src/queue.rs
@@ -13,6 +13,7 @@
     outbox: Mutex<Outbox>,
     clock: Clock,
     short_ready: Notify,
+    heartbeat_ready: Notify,
     long_ready: Notify,
     metrics: Metrics,
 }
@@ -33,6 +34,7 @@
         self.metrics.dropped_messages.inc_by(outbox.take_dropped());
         if outbox.has_short() {
             self.short_ready.notify_one();
+            self.heartbeat_ready.notify_one();
         }
         if outbox.has_long() {
             self.long_ready.notify_one();
@@ -50,6 +52,16 @@
         }
     }
 
+    /// Waits for a heartbeat that would wait for entries, and removes and returns it.
+    pub(crate) async fn next_overtaking_heartbeat(&self) -> RaftMessage {
+        loop {
+            if let Some(heartbeat) = self.outbox.lock().take_overtaking_heartbeat() {
+                return heartbeat;
+            }
+            self.heartbeat_ready.notified().await;
+        }
+    }
+
     /// Records the end of the call with the last short messages, and whether it was answered.
     pub(crate) fn finish_short(&self, arrived: bool) {
         let mut outbox = self.outbox.lock();
--- a/crates/cherrystream-core/src/transfer/content.rs
+++ b/crates/cherrystream-core/src/transfer/content.rs
@@ -57,6 +57,16 @@
     matches!(&msg.body, RaftBody::Append { entries, .. } if entries.is_empty())
 }
 
+/// Returns the index and term of the entry before those of a message, if it has any.
+pub(super) fn base(msg: &RaftMessage) -> Option<(u64, u64)> {
+    match &msg.body {
+        RaftBody::Append { entries, prev_index, prev_term, .. } if !entries.is_empty() => {
+            Some((*prev_index, *prev_term))
+        }
+        _ => None,
+    }
+}
+
 /// Returns a copy of a message with only the entries in a span.
 pub(super) fn part(msg: &RaftMessage, span: Span) -> RaftMessage {
     let RaftMessage { from, to, disk, term, body } = msg;
--- a/crates/cherrystream-core/src/transfer/outbox.rs
+++ b/crates/cherrystream-core/src/transfer/outbox.rs
@@ -42,6 +42,8 @@
     short_bytes: usize,
     /// Bytes of entries in the call in flight.
     call_bytes: usize,
+    /// Index and term of the entry before those in the call in flight.
+    call_base: Option<(u64, u64)>,
     /// Current limit for `short_bytes`.
     short_limit: usize,
     /// Queued long messages. Their entries are consecutive.
@@ -61,6 +63,7 @@
             short: VecDeque::new(),
             short_bytes: 0,
             call_bytes: 0,
+            call_base: None,
             short_limit: MAX_SHORT_BYTES,
             long: VecDeque::new(),
             long_bytes: 0,
@@ -88,13 +91,35 @@
         let count = self.short.len().min(MAX_CALL_MESSAGES);
         let messages: Vec<RaftMessage> = self.short.drain(..count).collect();
         self.call_bytes = messages.iter().map(raft::message_bytes).sum();
+        self.call_base = messages.iter().filter_map(content::base).min();
         messages
     }
 
+    /// Removes the queued heartbeat if it would wait for entries, in the call in flight or before it
+    /// in the queue. It depends on none of them, and reads and elections wait for it.
+    pub fn take_overtaking_heartbeat(&mut self) -> Option<RaftMessage> {
+        if self.short_bytes == 0 {
+            return None;
+        }
+        let queued = self.short.iter().position(content::is_heartbeat)?;
+        let mut heartbeat = self.short.remove(queued)?;
+        // The replica would reject an entry that it has not received.
+        let undelivered =
+            self.call_base.into_iter().chain(self.short.iter().filter_map(content::base));
+        if let Some(base) = undelivered.min()
+            && let RaftBody::Append { prev_index, prev_term, .. } = &mut heartbeat.body
+            && base.0 < *prev_index
+        {
+            (*prev_index, *prev_term) = base;
+        }
+        Some(heartbeat)
+    }
+
     /// Records the end of the call of short messages. A failure lowers the limit for entries,
     /// because the link may be too slow for the call.
     pub fn finish_short(&mut self, delivered: bool) {
         self.short_bytes -= std::mem::take(&mut self.call_bytes);
+        self.call_base = None;
         self.short_limit = match delivered {
             true => (self.short_limit * 2).min(MAX_SHORT_BYTES),
             false => (self.short_limit / 2).max(MIN_SHORT_BYTES),
--- a/crates/cherrystream-core/tests/transfer/lanes.rs
+++ b/crates/cherrystream-core/tests/transfer/lanes.rs
@@ -247,3 +247,31 @@
     outbox.push(START, entries(7, &[5_000]));
     assert_eq!(short(&mut outbox), vec![(6, vec![7])]);
 }
+
+/// Guards against reads that wait for the entries of a call on a slow link, because the heartbeat
+/// that confirms them is sent behind it, and against a heartbeat that is rejected because it is ahead
+/// of these entries.
+#[test]
+fn a_heartbeat_overtakes_the_entries_in_the_call_in_flight() {
+    let mut outbox = outbox(vec![entries(5, &[30_000])]);
+    assert_eq!(outbox.take_short().iter().map(indexes).collect::<Vec<_>>(), [(4, vec![5])]);
+    outbox.push(START, append(5, Vec::new()));
+    let overtaking = outbox.take_overtaking_heartbeat();
+    assert_eq!(overtaking.as_ref().map(indexes), Some((4, Vec::new())));
+    assert!(!outbox.has_short());
+    // One that is known to be held is not changed.
+    outbox.push(START, append(2, Vec::new()));
+    assert_eq!(outbox.take_overtaking_heartbeat().as_ref().map(indexes), Some((2, Vec::new())));
+    outbox.finish_short(true);
+    outbox.push(START, append(5, Vec::new()));
+    assert_eq!(outbox.take_overtaking_heartbeat(), None);
+    assert_eq!(short(&mut outbox), [(5, Vec::new())]);
+}
+
+/// Guards against a heartbeat that waits for queued entries while the link is unreachable.
+#[test]
+fn a_heartbeat_overtakes_queued_entries() {
+    let mut outbox = outbox(vec![entries(5, &[30_000]), append(5, Vec::new())]);
+    assert_eq!(outbox.take_overtaking_heartbeat().as_ref().map(indexes), Some((4, Vec::new())));
+    assert_eq!(short(&mut outbox), [(4, vec![5])]);
+}
