--- a/crates/cherrystream-daemon/src/health_requests.rs
+++ b/crates/cherrystream-daemon/src/health_requests.rs
@@ -8,7 +8,7 @@
 use crate::local_server::LocalServer;
 use cherrystream_core::silent_connections::FreshAnswer;
 use cherrystream_core::units::Timestamp;
-use cherrystream_net::body::{self, Body, Start};
+use cherrystream_net::body::{self, Body};
 use cherrystream_net::pool::{Connection, NoAnswer, Pool};
 use http::{Request, Response, header};
 use std::sync::Arc;
@@ -37,7 +37,7 @@
     Inconclusive,
 }
 
-/// Returns whether another health request may be sent now, and counts it.
+/// A budget of health requests: returns whether another one may be sent now, and counts it.
 pub trait Budget: Fn() -> bool + Send + Sync + 'static {}
 
 impl<F: Fn() -> bool + Send + Sync + 'static> Budget for F {}
@@ -82,7 +82,7 @@
     if let Ok(res) = answer {
         // The connection is reused only if the body was read.
         let reading = body::read_start(res.into_body(), MAX_RESPONSE_BYTES);
-        let _: Result<Result<Start, _>, _> = tokio::time::timeout(NEW_TIMEOUT, reading).await;
+        let _ = tokio::time::timeout(NEW_TIMEOUT, reading).await;
     }
 }
 
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -43,7 +43,7 @@
 
 /// Shortest time between two comparisons of connections.
 const COMPARISON_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time until an overdue response is judged again.
+/// Longest time until the connection of an overdue response is judged again.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 type Waiter = oneshot::Sender<Result<Permit, Refusal>>;
