A silent connection for long bodies is found within 1.75 s

Cause: detection took up to 2 s, of which 1.5 s allow for the transfer of written bytes. On such a link 0.8 s and more follow until the request is answered on the new connection.

Why it works: a second remains for sending the request again.

--- a/crates/cherrystream-daemon/src/peer/traffic.rs
+++ b/crates/cherrystream-daemon/src/peer/traffic.rs
@@ -21,9 +21,9 @@
     close_after: Duration::from_millis(4_500),
     max_delay: Duration::from_millis(200),
 };
-/// Maximum extension of the timeout for long bodies. A request that is sent again after it is still
-/// answered within 3 s of a silence.
-const LONG_MAX_EXTENSION: Duration = Duration::from_millis(1_500);
+/// Maximum extension of the timeout for long bodies. Leaves a second of the 3 s in which a request is
+/// to be answered after a silence for sending it again.
+const LONG_MAX_EXTENSION: Duration = Duration::from_millis(1_250);
 /// Time without a call after which a connection for long bodies is closed.
 const LONG_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
