--- a/review/harness/src/backend.rs
+++ b/review/harness/src/backend.rs
@@ -13,6 +13,7 @@
 const PIECES: usize = 32;
 const PIECE_PAUSE: Duration = Duration::from_millis(22);
 const SHORT_WORK: Duration = Duration::from_millis(20);
+const LONG_WORK: Duration = Duration::from_millis(4_200);
 
 struct Server {
     id: String,
@@ -86,7 +87,18 @@
     let start = Instant::now();
     let left: u64 = head.get("x-request-timeout-ms").and_then(|v| v.parse().ok()).unwrap_or(60_000);
     let end = start + Duration::from_millis(left);
-    thread::sleep(SHORT_WORK);
+    if path.starts_with("/grant/") {
+        let done = start + LONG_WORK;
+        while Instant::now() < done {
+            thread::sleep(Duration::from_millis(10));
+            // It drops a request when its connection closes, and ends its work at the deadline.
+            if is_closed(to) || Instant::now() > end {
+                return Ok(false);
+            }
+        }
+    } else {
+        thread::sleep(SHORT_WORK);
+    }
     let body = if path.contains("/big/") { vec![b'x'; PIECE * PIECES] } else { format!("done {attempt}\n").into_bytes() };
     let running = server.running.load(Ordering::Relaxed);
     let head = format!(
@@ -107,3 +119,16 @@
     }
     Ok(true)
 }
+
+fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut byte);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(n) => n == 0,
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+    }
+}
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod case1;
 mod case2;
+mod case3;
 mod http;
 mod site;
 
@@ -42,7 +43,8 @@
     };
     let play: fn(&mut Site, bool) -> Fallible<Held> = match case {
         "1" => case1::play,
-        _ => case2::play,
+        "2" => case2::play,
+        _ => case3::play,
     };
     let result = play(&mut site, trouble);
     let runs = site.finish();
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -225,6 +225,17 @@
         Ok(())
     }
 
+    /// Returns what the backend servers recorded.
+    pub fn runs(&self) -> Vec<String> {
+        let mut runs = Vec::new();
+        for n in 1..12 {
+            if let Ok(text) = fs::read_to_string(self.folder.join(format!("backend-{n}.log"))) {
+                runs.extend(text.lines().map(|line| format!("backend-{n}: {line}")));
+            }
+        }
+        runs
+    }
+
     /// Ends all processes, reads the records of the backend servers and removes the folder.
     pub fn finish(&mut self) -> Vec<String> {
         for (name, child) in &mut self.processes {
@@ -234,12 +245,7 @@
             }
             let _ = child.wait();
         }
-        let mut runs = Vec::new();
-        for n in 1..12 {
-            if let Ok(text) = fs::read_to_string(self.folder.join(format!("backend-{n}.log"))) {
-                runs.extend(text.lines().map(|line| format!("backend-{n}: {line}")));
-            }
-        }
+        let runs = self.runs();
         if std::env::var("KEEP").is_ok() {
             println!("kept: {}", self.folder.display());
         } else {
