--- a/review/harness/src/case2.rs
+++ b/review/harness/src/case2.rs
@@ -47,8 +47,13 @@
         site.start_daemon(host, "abdali", SERVICE)?;
         site.start_backend(host, SERVICE, 24)?;
     }
+    // Machines that only make the stopped ones a share of two in five.
+    for host in 8..=9 {
+        site.start_daemon(host, "abdali", "catalogue")?;
+        site.start_backend(host, "catalogue", 12)?;
+    }
     site.replace_config(&[1, 2, 3], 1, &config(), Duration::from_secs(15))?;
-    site.wait_ready(&[5, 6, 7], Duration::from_secs(15))?;
+    site.wait_ready(&[5, 6, 7, 8, 9], Duration::from_secs(15))?;
     // Calm for longer than `contact_s` before the planned work.
     sleep(Duration::from_secs(5));
     if trouble {
--- a/review/harness/src/case3.rs
+++ b/review/harness/src/case3.rs
@@ -14,7 +14,7 @@
 const SILENCE: Duration = Duration::from_millis(4_500);
 /// How long the clients of this test wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(12);
-const PER_SECOND: u32 = 40;
+const PER_SECOND: u32 = 72;
 
 struct End {
     id: String,
@@ -29,12 +29,12 @@
     }
     site.start_daemon(5, "yqr-a", "teller")?;
     site.start_backend(5, "teller", 24)?;
-    for host in 6..=7 {
+    for host in 6..=9 {
         site.start_daemon(host, "yqr-a", SERVICE)?;
         site.start_backend(host, SERVICE, 24)?;
     }
     site.replace_config(&[1, 2, 3], 1, &config(1, SERVICE, TIMEOUT.as_secs_f64(), 0.8), Duration::from_secs(15))?;
-    site.wait_ready(&[5, 6, 7], Duration::from_secs(15))?;
+    site.wait_ready(&[5, 6, 7, 8, 9], Duration::from_secs(15))?;
     sleep(Duration::from_secs(4));
     let (tx, rx) = mpsc::channel();
     let at = site.outbound(5);
