--- a/review/harness/src/backend.rs
+++ b/review/harness/src/backend.rs
@@ -22,7 +22,9 @@
 }
 
 pub fn run(args: &[String]) -> Result<(), String> {
-    let [address, control, service, id, slots] = args else { return Err("backend ADDRESS CONTROL SERVICE ID SLOTS".into()) };
+    let [address, control, service, id, slots] = args else {
+        return Err("backend ADDRESS CONTROL SERVICE ID SLOTS".into());
+    };
     let slots: u32 = slots.parse().map_err(|_| "slots")?;
     let listener = TcpListener::bind(address).map_err(|e| e.to_string())?;
     let server = Arc::new(Server { id: id.clone(), slots, running: AtomicU32::new(0) });
@@ -47,7 +49,8 @@
         );
         let headers = [("Host", "daemon".to_string()), ("Content-Type", "application/json".into())];
         let path = format!("/-/rpc?call=instances.heartbeat&of={id}");
-        let taken = http::call(control, "POST", &path, &headers, body.as_bytes(), Duration::from_secs(1));
+        let taken =
+            http::call(control, "POST", &path, &headers, body.as_bytes(), Duration::from_secs(1));
         let pause = if taken.is_ok_and(|a| a.status == 200) { 1_500 } else { 300 };
         thread::sleep(Duration::from_millis(pause));
     }
@@ -83,7 +86,13 @@
 }
 
 /// Works on a request and answers it; returns false if it ends at its deadline in mid-answer.
-fn work(server: &Server, head: &Head, attempt: &str, path: &str, to: &mut TcpStream) -> io::Result<bool> {
+fn work(
+    server: &Server,
+    head: &Head,
+    attempt: &str,
+    path: &str,
+    to: &mut TcpStream,
+) -> io::Result<bool> {
     let start = Instant::now();
     let left: u64 = head.get("x-request-timeout-ms").and_then(|v| v.parse().ok()).unwrap_or(60_000);
     let end = start + Duration::from_millis(left);
@@ -99,7 +108,11 @@
     } else {
         thread::sleep(SHORT_WORK);
     }
-    let body = if path.contains("/big/") { vec![b'x'; PIECE * PIECES] } else { format!("done {attempt}\n").into_bytes() };
+    let body = if path.contains("/big/") {
+        vec![b'x'; PIECE * PIECES]
+    } else {
+        format!("done {attempt}\n").into_bytes()
+    };
     let running = server.running.load(Ordering::Relaxed);
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: sig.{}\r\nX-Server-Load: {running},0,{},100\r\n\
--- a/review/harness/src/case1.rs
+++ b/review/harness/src/case1.rs
@@ -28,7 +28,9 @@
     };
     let mut hosts = vec![1, 2, 3];
     if trouble {
-        site.note(format!("core-{gone} is taken away and says nothing any more (SIGSTOP for good)"));
+        site.note(format!(
+            "core-{gone} is taken away and says nothing any more (SIGSTOP for good)"
+        ));
         site.signal(&format!("core-{gone}"), "-STOP")?;
         sleep(Duration::from_secs(2));
         site.note("core-4 starts in its place, at another address and with an empty disk");
@@ -46,7 +48,8 @@
         fs::remove_dir_all(site.data(wiped)).map_err(|e| e.to_string())?;
         sleep(Duration::from_millis(1_100));
         for host in [wiped, stays, 4] {
-            let zone = if host == 4 { ZONES[usize::from(gone) - 1] } else { ZONES[usize::from(host) - 1] };
+            let zone =
+                if host == 4 { ZONES[usize::from(gone) - 1] } else { ZONES[usize::from(host) - 1] };
             site.start_control(host, zone, false)?;
         }
     }
--- a/review/harness/src/case2.rs
+++ b/review/harness/src/case2.rs
@@ -79,11 +79,20 @@
                 ("X-Request-Timeout-Ms", "5000".to_string()),
             ];
             let sent = stop.elapsed();
-            let answer = http::call(at, "POST", &format!("/grant/{n}"), &headers, b"order", PATIENCE);
+            let answer =
+                http::call(at, "POST", &format!("/grant/{n}"), &headers, b"order", PATIENCE);
             let (what, answered) = match answer {
                 Ok(a) => {
                     let signed = a.head.get("x-server-signature").is_some();
-                    (format!("{} with {} bytes, signature {}", a.status, a.body.len(), if signed { "there" } else { "none" }), signed)
+                    (
+                        format!(
+                            "{} with {} bytes, signature {}",
+                            a.status,
+                            a.body.len(),
+                            if signed { "there" } else { "none" }
+                        ),
+                        signed,
+                    )
                 }
                 Err(e) => (format!("no complete answer: {e}"), false),
             };
@@ -99,7 +108,9 @@
         for (host, service) in [(6u8, SERVICE), (5, "catalogue")] {
             let name = format!("sidecar-{host}");
             let end = Instant::now() + Duration::from_secs(3);
-            while site.processes.get_mut(&name).is_some_and(|p| matches!(p.try_wait(), Ok(None))) && Instant::now() < end {
+            while site.processes.get_mut(&name).is_some_and(|p| matches!(p.try_wait(), Ok(None)))
+                && Instant::now() < end
+            {
                 sleep(Duration::from_millis(50));
             }
             site.start_daemon(host, "abdali", service)?;
@@ -114,7 +125,10 @@
         broken += u32::from(is_broken);
         site.note(format!(
             "request {} sent {:.3} s after the second SIGTERM: {} at {:.3} s; {}{}",
-            e.id, e.sent.as_secs_f64(), e.what, e.ended.as_secs_f64(),
+            e.id,
+            e.sent.as_secs_f64(),
+            e.what,
+            e.ended.as_secs_f64(),
             match (began, cut) {
                 (true, true) => "it was cut off from its backend server, which was working on it",
                 (true, false) => "its backend server ended it",
--- a/review/harness/src/case3.rs
+++ b/review/harness/src/case3.rs
@@ -33,7 +33,12 @@
         site.start_daemon(host, "yqr-a", SERVICE)?;
         site.start_backend(host, SERVICE, 24)?;
     }
-    site.replace_config(&[1, 2, 3], 1, &config(1, SERVICE, TIMEOUT.as_secs_f64(), 0.8), Duration::from_secs(15))?;
+    site.replace_config(
+        &[1, 2, 3],
+        1,
+        &config(1, SERVICE, TIMEOUT.as_secs_f64(), 0.8),
+        Duration::from_secs(15),
+    )?;
     site.wait_ready(&[5, 6, 7, 8, 9], Duration::from_secs(15))?;
     sleep(Duration::from_secs(4));
     let (tx, rx) = mpsc::channel();
@@ -51,10 +56,21 @@
                 ];
                 let sent = start.elapsed().as_secs_f64();
                 let began = Instant::now();
-                let answer = http::call(at, "GET", &format!("/quote/big/{n}"), &headers, b"", PATIENCE);
+                let answer =
+                    http::call(at, "GET", &format!("/quote/big/{n}"), &headers, b"", PATIENCE);
                 let what = match answer {
-                    Ok(a) => format!("{} with {} bytes, signature {}", a.status, a.body.len(), a.head.get("x-server-signature").unwrap_or("none")),
-                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock || e.kind() == std::io::ErrorKind::TimedOut => "no complete answer when the client left".into(),
+                    Ok(a) => format!(
+                        "{} with {} bytes, signature {}",
+                        a.status,
+                        a.body.len(),
+                        a.head.get("x-server-signature").unwrap_or("none")
+                    ),
+                    Err(e)
+                        if e.kind() == std::io::ErrorKind::WouldBlock
+                            || e.kind() == std::io::ErrorKind::TimedOut =>
+                    {
+                        "no complete answer when the client left".into()
+                    }
                     Err(e) => format!("cut: {e}"),
                 };
                 let _ = tx.send(End { id, sent, took: began.elapsed(), what });
@@ -73,7 +89,18 @@
     sender.join().map_err(|_| "the clients failed")?;
     let mut ends: Vec<End> = rx.iter().collect();
     ends.sort_by(|a, b| a.sent.total_cmp(&b.sent));
-    let lines: Vec<String> = ends.iter().map(|e| format!("request {} sent at {:.3} s: {} after {:.3} s", e.id, e.sent, e.what, e.took.as_secs_f64())).collect();
+    let lines: Vec<String> = ends
+        .iter()
+        .map(|e| {
+            format!(
+                "request {} sent at {:.3} s: {} after {:.3} s",
+                e.id,
+                e.sent,
+                e.what,
+                e.took.as_secs_f64()
+            )
+        })
+        .collect();
     site.lines.extend(lines);
     let past = ends.iter().filter(|e| e.took > TIMEOUT).count();
     let late = ends.iter().filter(|e| e.took > LATE).count();
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -93,7 +93,9 @@
     let end = Instant::now() + within;
     let mut stream = TcpStream::connect_timeout(&at, within)?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1))))?;
+    stream.set_read_timeout(Some(
+        end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)),
+    ))?;
     let mut text = format!("{method} {path} HTTP/1.1\r\n");
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -24,7 +24,9 @@
                 ExitCode::from(2)
             }
         },
-        Some("case") if args.len() == 4 => run_case(&args[1], PathBuf::from(&args[2]), PathBuf::from(&args[3])),
+        Some("case") if args.len() == 4 => {
+            run_case(&args[1], PathBuf::from(&args[2]), PathBuf::from(&args[3]))
+        }
         _ => {
             eprintln!("review-harness case N PROGRAM RECORD");
             ExitCode::from(2)
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -42,13 +42,31 @@
         let folder = std::env::temp_dir().join(format!("review-{id}"));
         fs::create_dir_all(&folder).map_err(|e| err("temporary folder", e))?;
         let free = |base: &String| {
-            let ports = [CONTROL_PORT, RPC_PORT, METRICS_PORT, INBOUND_PORT, APP_PORT, READINESS_PORT, OUTBOUND_PORT];
-            (1..12u8).all(|n| ports.iter().all(|p| TcpListener::bind(format!("{base}{n}:{p}")).is_ok()))
+            let ports = [
+                CONTROL_PORT,
+                RPC_PORT,
+                METRICS_PORT,
+                INBOUND_PORT,
+                APP_PORT,
+                READINESS_PORT,
+                OUTBOUND_PORT,
+            ];
+            (1..12u8)
+                .all(|n| ports.iter().all(|p| TcpListener::bind(format!("{base}{n}:{p}")).is_ok()))
         };
-        let bases = (0..200u32).map(|n| format!("127.{}.{}.", 20 + (id + n) % 200, 1 + (id / 200 + n) % 250));
+        let bases = (0..200u32)
+            .map(|n| format!("127.{}.{}.", 20 + (id + n) % 200, 1 + (id / 200 + n) % 250));
         let base = bases.into_iter().find(free).ok_or("no free loopback addresses")?;
         let harness = std::env::current_exe().map_err(|e| err("own path", e))?;
-        Ok(Site { folder, base, program, harness, processes: BTreeMap::new(), started: Instant::now(), lines: Vec::new() })
+        Ok(Site {
+            folder,
+            base,
+            program,
+            harness,
+            processes: BTreeMap::new(),
+            started: Instant::now(),
+            lines: Vec::new(),
+        })
     }
 
     pub fn ip(&self, host: u8) -> String {
@@ -71,7 +89,8 @@
     }
 
     fn spawn(&mut self, name: &str, mut command: Command) -> Fallible<()> {
-        let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
+        let log =
+            File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
         let log = log.map_err(|e| err("log", e))?;
         let errors = log.try_clone().map_err(|e| err("log", e))?;
         let child = command.stdin(Stdio::null()).stdout(log).stderr(errors).spawn();
@@ -87,7 +106,8 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds: Vec<String> = (1..=3).map(|n| format!("\"{}:{CONTROL_PORT}\"", self.ip(n))).collect();
+        let seeds: Vec<String> =
+            (1..=3).map(|n| format!("\"{}:{CONTROL_PORT}\"", self.ip(n))).collect();
         format!("[{}]", seeds.join(","))
     }
 
@@ -102,7 +122,8 @@
             self.data(host).display(),
             self.seeds()
         );
-        fs::write(self.folder.join(format!("{name}.yaml")), text).map_err(|e| err("settings", e))?;
+        fs::write(self.folder.join(format!("{name}.yaml")), text)
+            .map_err(|e| err("settings", e))?;
         fs::create_dir_all(self.data(host)).map_err(|e| err("data folder", e))?;
         self.run(&name)
     }
@@ -124,7 +145,8 @@
              change_within_s: 2\n  stop_notice_ms: 2000\n  stop_grace_ms: 1000\n  stop_last_answers_ms: 2600\n",
             self.seeds()
         );
-        fs::write(self.folder.join(format!("{name}.yaml")), text).map_err(|e| err("settings", e))?;
+        fs::write(self.folder.join(format!("{name}.yaml")), text)
+            .map_err(|e| err("settings", e))?;
         self.run(&name)
     }
 
@@ -132,7 +154,14 @@
     pub fn start_backend(&mut self, host: u8, service: &str, slots: u32) -> Fallible<()> {
         let mut command = Command::new(&self.harness);
         let ip = self.ip(host);
-        command.args(["backend", &format!("{ip}:{APP_PORT}"), &format!("{ip}:{CONTROL_PORT}"), service, &format!("i-{host}"), &slots.to_string()]);
+        command.args([
+            "backend",
+            &format!("{ip}:{APP_PORT}"),
+            &format!("{ip}:{CONTROL_PORT}"),
+            service,
+            &format!("i-{host}"),
+            &slots.to_string(),
+        ]);
         self.spawn(&format!("backend-{host}"), command)
     }
 
@@ -154,20 +183,37 @@
 
     /// Asks control on a host; `None` without an answer.
     fn ask(&self, host: u8, call: &str, body: &str) -> Option<(u16, String)> {
-        let headers = [("Host", "control".to_string()), ("Content-Type", "application/json".into())];
+        let headers =
+            [("Host", "control".to_string()), ("Content-Type", "application/json".into())];
         let path = format!("/-/rpc?call={call}");
-        let answer = http::call(self.at(host, CONTROL_PORT), "POST", &path, &headers, body.as_bytes(), Duration::from_secs(1));
+        let answer = http::call(
+            self.at(host, CONTROL_PORT),
+            "POST",
+            &path,
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(1),
+        );
         answer.ok().map(|a| (a.status, String::from_utf8_lossy(&a.body).into_owned()))
     }
 
     /// Sends a configuration, as the operator does, until it is acknowledged.
-    pub fn replace_config(&mut self, hosts: &[u8], version: u64, text: &str, within: Duration) -> Fallible<()> {
+    pub fn replace_config(
+        &mut self,
+        hosts: &[u8],
+        version: u64,
+        text: &str,
+        within: Duration,
+    ) -> Fallible<()> {
         let end = Instant::now() + within;
         let sent = Instant::now();
         for n in 0.. {
             let host = hosts[n % hosts.len()];
             if let Some((200, _)) = self.ask(host, "config.replace", text) {
-                self.note(format!("operator: version {version} acknowledged by core-{host} after {:?}", sent.elapsed()));
+                self.note(format!(
+                    "operator: version {version} acknowledged by core-{host} after {:?}",
+                    sent.elapsed()
+                ));
                 return Ok(());
             }
             if Instant::now() > end {
@@ -186,7 +232,10 @@
             let host = hosts[n % hosts.len()];
             let answer = self.ask(host, "config.read", "");
             if let Some((200, text)) = answer {
-                self.note(format!("operator: config.read answered by core-{host} after {:?}", start.elapsed()));
+                self.note(format!(
+                    "operator: config.read answered by core-{host} after {:?}",
+                    start.elapsed()
+                ));
                 return Some(text);
             }
             let what = answer.map_or("no answer".to_string(), |(status, _)| status.to_string());
@@ -196,16 +245,27 @@
             }
             sleep(Duration::from_millis(200));
         }
-        self.note(format!("operator: config.read without a configuration for {within:?}: {seen:?}"));
+        self.note(format!(
+            "operator: config.read without a configuration for {within:?}: {seen:?}"
+        ));
         None
     }
 
     /// Returns whether control on a host says in its metrics that it leads.
     pub fn leads(&self, host: u8) -> bool {
         let headers = [("Host", "metrics".to_string())];
-        let answer = http::call(self.at(host, METRICS_PORT), "GET", "/metrics", &headers, b"", Duration::from_secs(1));
-        let text = answer.map(|a| String::from_utf8_lossy(&a.body).into_owned()).unwrap_or_default();
-        text.lines().any(|l| !l.starts_with('#') && l.contains("leads") && l.trim_end().ends_with(" 1"))
+        let answer = http::call(
+            self.at(host, METRICS_PORT),
+            "GET",
+            "/metrics",
+            &headers,
+            b"",
+            Duration::from_secs(1),
+        );
+        let text =
+            answer.map(|a| String::from_utf8_lossy(&a.body).into_owned()).unwrap_or_default();
+        text.lines()
+            .any(|l| !l.starts_with('#') && l.contains("leads") && l.trim_end().ends_with(" 1"))
     }
 
     /// Waits until the daemons are ready.
@@ -213,7 +273,14 @@
         let end = Instant::now() + within;
         let headers = [("Host", "daemon".to_string())];
         let is_ready = |host: &u8| {
-            let asked = http::call(self.at(*host, READINESS_PORT), "GET", "/-/readyz", &headers, b"", Duration::from_secs(1));
+            let asked = http::call(
+                self.at(*host, READINESS_PORT),
+                "GET",
+                "/-/readyz",
+                &headers,
+                b"",
+                Duration::from_secs(1),
+            );
             asked.is_ok_and(|a| a.status == 200)
         };
         while !hosts.iter().all(is_ready) {
