--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -24,19 +24,22 @@
                 ExitCode::from(2)
             }
         },
-        Some("case") if args.len() == 4 => {
-            run_case(&args[1], PathBuf::from(&args[2]), PathBuf::from(&args[3]))
-        }
+        Some("case") if args.len() == 5 => run_case(
+            &args[1],
+            PathBuf::from(&args[2]),
+            PathBuf::from(&args[3]),
+            PathBuf::from(&args[4]),
+        ),
         _ => {
-            eprintln!("review-harness case N PROGRAM RECORD");
+            eprintln!("review-harness case N PROGRAM RECORD FOLDER");
             ExitCode::from(2)
         }
     }
 }
 
-fn run_case(case: &str, program: PathBuf, record: PathBuf) -> ExitCode {
+fn run_case(case: &str, program: PathBuf, record: PathBuf, folder: PathBuf) -> ExitCode {
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
-    let mut site = match Site::new(program) {
+    let mut site = match Site::new(program, folder) {
         Ok(site) => site,
         Err(e) => {
             eprintln!("cannot run: {e}");
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -4,13 +4,14 @@
 use crate::http;
 use std::collections::BTreeMap;
 use std::fs::{self, File};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-pub const CONTROL_PORT: u16 = 8306;
+const CONTROL_PORT: u16 = 8306;
 const RPC_PORT: u16 = 7620;
 const METRICS_PORT: u16 = 7635;
 const INBOUND_PORT: u16 = 8300;
@@ -21,9 +22,15 @@
 /// The script could not do its work; it says nothing about the system.
 pub type Fallible<T> = Result<T, String>;
 
+/// Distance between two sets of ports, and their number.
+const PORT_STEP: u16 = 41;
+const PORT_SETS: u16 = 60;
+
 pub struct Site {
     pub folder: PathBuf,
     base: String,
+    /// Added to each port.
+    shift: u16,
     program: PathBuf,
     harness: PathBuf,
     pub processes: BTreeMap<String, Child>,
@@ -36,31 +43,38 @@
 }
 
 impl Site {
-    /// Creates a site without processes in a temporary folder, on addresses that nobody uses.
-    pub fn new(program: PathBuf) -> Fallible<Site> {
+    /// Creates a site without processes in a folder, on addresses and ports that nobody uses.
+    pub fn new(program: PathBuf, folder: PathBuf) -> Fallible<Site> {
         let id = std::process::id();
-        let folder = std::env::temp_dir().join(format!("review-{id}"));
-        fs::create_dir_all(&folder).map_err(|e| err("temporary folder", e))?;
-        let free = |base: &String| {
-            let ports = [
-                CONTROL_PORT,
-                RPC_PORT,
-                METRICS_PORT,
-                INBOUND_PORT,
-                APP_PORT,
-                READINESS_PORT,
-                OUTBOUND_PORT,
-            ];
-            (1..12u8)
-                .all(|n| ports.iter().all(|p| TcpListener::bind(format!("{base}{n}:{p}")).is_ok()))
+        let ports = [
+            CONTROL_PORT,
+            RPC_PORT,
+            METRICS_PORT,
+            INBOUND_PORT,
+            APP_PORT,
+            READINESS_PORT,
+            OUTBOUND_PORT,
+        ];
+        let is_free = |base: &str, shift: u16| {
+            let free = |n: u8, port: &u16| {
+                TcpListener::bind(format!("{base}{n}:{}", port + shift)).is_ok()
+            };
+            (1..12u8).all(|n| ports.iter().all(|port| free(n, port)))
         };
-        let bases = (0..200u32)
-            .map(|n| format!("127.{}.{}.", 20 + (id + n) % 200, 1 + (id / 200 + n) % 250));
-        let base = bases.into_iter().find(free).ok_or("no free loopback addresses")?;
+        let sets = (0..PORT_SETS).map(|n| {
+            let n32 = u32::from(n);
+            let base = format!("127.{}.{}.", 20 + (id + n32) % 200, 1 + (id / 200 + n32) % 250);
+            (base, n * PORT_STEP)
+        });
+        let (base, shift) = sets
+            .into_iter()
+            .find(|(base, shift)| is_free(base, *shift))
+            .ok_or("no free loopback addresses and ports")?;
         let harness = std::env::current_exe().map_err(|e| err("own path", e))?;
         Ok(Site {
             folder,
             base,
+            shift,
             program,
             harness,
             processes: BTreeMap::new(),
@@ -74,7 +88,7 @@
     }
 
     fn at(&self, host: u8, port: u16) -> SocketAddr {
-        format!("{}{host}:{port}", self.base).parse().expect("an address")
+        format!("{}{host}:{}", self.base, port + self.shift).parse().expect("an address")
     }
 
     pub fn outbound(&self, host: u8) -> SocketAddr {
@@ -94,10 +108,18 @@
         let log = log.map_err(|e| err("log", e))?;
         let errors = log.try_clone().map_err(|e| err("log", e))?;
         let child = command.stdin(Stdio::null()).stdout(log).stderr(errors).spawn();
-        self.processes.insert(name.into(), child.map_err(|e| err(name, e))?);
+        let child = child.map_err(|e| err(name, e))?;
+        self.record_id(child.id())?;
+        self.processes.insert(name.into(), child);
         Ok(())
     }
 
+    /// Records the id of a process, so that run.sh can end it if this program is ended.
+    fn record_id(&self, id: u32) -> Fallible<()> {
+        let file = File::options().create(true).append(true).open(self.folder.join("pids"));
+        file.and_then(|mut file| writeln!(file, "{id}")).map_err(|e| err("pids", e))
+    }
+
     /// Starts a process of the system with the command of the deploy file.
     fn run(&mut self, name: &str) -> Fallible<()> {
         let mut command = Command::new(&self.program);
@@ -106,19 +128,22 @@
     }
 
     fn seeds(&self) -> String {
+        let control_port = CONTROL_PORT + self.shift;
         let seeds: Vec<String> =
-            (1..=3).map(|n| format!("\"{}:{CONTROL_PORT}\"", self.ip(n))).collect();
+            (1..=3).map(|n| format!("\"{}:{control_port}\"", self.ip(n))).collect();
         format!("[{}]", seeds.join(","))
     }
 
     /// Starts control on host `host`. `first` is true at the first start of the whole system.
     pub fn start_control(&mut self, host: u8, zone: &str, first: bool) -> Fallible<()> {
         let (ip, name) = (self.ip(host), format!("core-{host}"));
+        let [control_port, rpc_port, metrics_port] =
+            [CONTROL_PORT, RPC_PORT, METRICS_PORT].map(|port| port + self.shift);
         let text = format!(
             "host: \"{name}\"\nfailure_domain: \"{zone}\"\nregion: \"yqr\"\ninterface: platform\nclosed_network: true\n\
-             metrics_address: \"{ip}:{METRICS_PORT}\"\ncontrol:\n  rpc_address: \"{ip}:{RPC_PORT}\"\n  \
-             api_address: \"{ip}:{CONTROL_PORT}\"\n  data_folder: \"{}\"\n  found: {first}\n  losses_borne: 1\n  \
-             seeds:\n    addresses: {}\n    rpc_port: {RPC_PORT}\n",
+             metrics_address: \"{ip}:{metrics_port}\"\ncontrol:\n  rpc_address: \"{ip}:{rpc_port}\"\n  \
+             api_address: \"{ip}:{control_port}\"\n  data_folder: \"{}\"\n  found: {first}\n  losses_borne: 1\n  \
+             seeds:\n    addresses: {}\n    rpc_port: {rpc_port}\n",
             self.data(host).display(),
             self.seeds()
         );
@@ -135,12 +160,15 @@
     /// Starts the daemon of host `host`.
     pub fn start_daemon(&mut self, host: u8, zone: &str, service: &str) -> Fallible<()> {
         let (ip, name) = (self.ip(host), format!("sidecar-{host}"));
+        let [control_port, rpc_port, metrics_port, inbound_port, readiness_port, outbound_port] =
+            [CONTROL_PORT, RPC_PORT, METRICS_PORT, INBOUND_PORT, READINESS_PORT, OUTBOUND_PORT]
+                .map(|port| port + self.shift);
         let text = format!(
             "host: \"{name}\"\nfailure_domain: \"{zone}\"\nregion: \"yqr\"\ninterface: platform\nclosed_network: true\n\
-             metrics_address: \"{ip}:{METRICS_PORT}\"\ndaemon:\n  caller_address: \"{ip}:{OUTBOUND_PORT}\"\n  \
-             peer_address: \"{ip}:{INBOUND_PORT}\"\n  instance_address: \"{ip}:{CONTROL_PORT}\"\n  \
-             readiness_address: \"{ip}:{READINESS_PORT}\"\n  service: \"{service}\"\n  seeds:\n    addresses: {}\n    \
-             rpc_port: {RPC_PORT}\n  retry_share: 0.1\n  hedge_share: 0.05\n  retry_extra: 58\n  slot_share: 0.8\n  \
+             metrics_address: \"{ip}:{metrics_port}\"\ndaemon:\n  caller_address: \"{ip}:{outbound_port}\"\n  \
+             peer_address: \"{ip}:{inbound_port}\"\n  instance_address: \"{ip}:{control_port}\"\n  \
+             readiness_address: \"{ip}:{readiness_port}\"\n  service: \"{service}\"\n  seeds:\n    addresses: {}\n    \
+             rpc_port: {rpc_port}\n  retry_share: 0.1\n  hedge_share: 0.05\n  retry_extra: 58\n  slot_share: 0.8\n  \
              room: learned-if-rounded\n  queue_per_slot: 1.0\n  crossing_cost_ms: 200\n  leaving_grace_s: 2\n  \
              change_within_s: 2\n  stop_notice_ms: 2000\n  stop_grace_ms: 1000\n  stop_last_answers_ms: 2600\n",
             self.seeds()
@@ -154,10 +182,11 @@
     pub fn start_backend(&mut self, host: u8, service: &str, slots: u32) -> Fallible<()> {
         let mut command = Command::new(&self.harness);
         let ip = self.ip(host);
+        let [app_port, control_port] = [APP_PORT, CONTROL_PORT].map(|port| port + self.shift);
         command.args([
             "backend",
-            &format!("{ip}:{APP_PORT}"),
-            &format!("{ip}:{CONTROL_PORT}"),
+            &format!("{ip}:{app_port}"),
+            &format!("{ip}:{control_port}"),
             service,
             &format!("i-{host}"),
             &slots.to_string(),
@@ -303,21 +332,23 @@
         runs
     }
 
-    /// Ends all processes, reads the records of the backend servers and removes the folder.
+    /// Ends all processes and reads the records of the backend servers.
     pub fn finish(&mut self) -> Vec<String> {
-        for (name, child) in &mut self.processes {
+        for child in self.processes.values_mut() {
             let _ = Command::new("kill").args(["-CONT", &child.id().to_string()]).status();
-            if child.kill().is_err() {
-                eprintln!("{name} had ended");
-            }
+            let _ = child.kill();
             let _ = child.wait();
         }
         let runs = self.runs();
-        if std::env::var("KEEP").is_ok() {
-            println!("kept: {}", self.folder.display());
-        } else {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
         runs
     }
 }
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for child in self.processes.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
