Control: a leader logs and counts its decisions on join requests

A replacement that never gets its member slot left no trace on the leader: the decision, the disk that the slot names, the last disk that acknowledged anything under its number and the age of that acknowledgement were not visible anywhere. One line for each decision that differs from the previous one on the same disk (`join=granted|deferred|slot-lost`), and `cherrystream_control_joins_total{decision}`.

--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -5,16 +5,17 @@
 use crate::errors::{Error, Result};
 use crate::folder::Folder;
 use crate::handle::{Event, Handle, LogStatus, NoResult};
+use crate::join_log::JoinLog;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::snapshots::{self, FinishedSnapshot};
 use crate::store::{Batch, Store};
 use cherrystream_core::raft::rejoin::{self, PlaceView};
-use cherrystream_core::raft::{JoiningReplica, Options, Position, Raft, Ready};
+use cherrystream_core::raft::{JoinDecision, JoiningReplica, Options, Position, Raft, Ready};
 use cherrystream_core::state::{Applied, ControlState};
 use cherrystream_core::units::Timestamp;
 use cherrystream_net::clock::Clock;
-use cherrystream_schema::messages::{HardState, ReplicaAddress};
+use cherrystream_schema::messages::{HardState, JoinRequest, ReplicaAddress};
 use parking_lot::RwLock;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -56,6 +57,7 @@
     caught_up: Arc<RwLock<Option<Timestamp>>>,
     pub(crate) peers: Peers,
     metrics: Metrics,
+    join_log: JoinLog,
     clock: Clock,
     pub(crate) hard: HardState,
     pub(crate) applied: Position,
@@ -140,6 +142,7 @@
         caught_up,
         peers,
         metrics,
+        join_log: JoinLog::default(),
         clock,
         hard,
         applied,
@@ -224,19 +227,7 @@
                 let _ = reply.send(self.raft.replica_views());
             }
             Event::Admit(request, reply) => {
-                let leader = self.raft.leader();
-                let candidate = JoiningReplica {
-                    address: &request.address,
-                    disk: &request.disk,
-                    failure_domain: &request.failure_domain,
-                    stands_by: request.stands_by,
-                    runs_as: request.runs_as,
-                };
-                let answer = match self.raft.is_leader() {
-                    true => Ok(self.raft.admit(now, candidate)),
-                    false => Err(NoResult::NotLeader { leader }),
-                };
-                let _ = reply.send(answer);
+                let _ = reply.send(self.admit(now, &request));
             }
             Event::Applied(outcomes) => self.on_applied(outcomes),
             Event::HandOver(reply) => {
@@ -247,6 +238,24 @@
         }
     }
 
+    /// Decides on a join request, as the leader.
+    fn admit(&mut self, now: Timestamp, req: &JoinRequest) -> Result<JoinDecision, NoResult> {
+        if !self.raft.is_leader() {
+            return Err(NoResult::NotLeader { leader: self.raft.leader() });
+        }
+        let joining = JoiningReplica {
+            address: &req.address,
+            disk: &req.disk,
+            failure_domain: &req.failure_domain,
+            stands_by: req.stands_by,
+            runs_as: req.runs_as,
+        };
+        let slots = self.raft.slot_views(now);
+        let decision = self.raft.admit(now, joining);
+        self.join_log.record(&self.metrics, req, decision, &slots);
+        Ok(decision)
+    }
+
     /// Returns whether this replica may discard its data after a report that its member slot is
     /// lost. A replica that belongs to a working quorum ignores such a report.
     fn may_discard_log(&self) -> bool {
--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod folder;
 pub mod handle;
 pub mod incoming_transfers;
+mod join_log;
 pub mod member_slot;
 pub mod metrics;
 pub mod operators;
--- a/crates/cherrystream-control/src/metrics.rs
+++ b/crates/cherrystream-control/src/metrics.rs
@@ -25,6 +25,13 @@
     pub end: &'static str,
 }
 
+/// Label with the decision on a join request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct JoinLabel {
+    /// Decision, such as `granted`.
+    pub decision: &'static str,
+}
+
 /// Metrics of the control role.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
@@ -46,6 +53,8 @@
     pub leader_changes: Counter,
     /// Calls through the leader that failed.
     pub failed_calls: Family<FailedCallLabel, Counter>,
+    /// Decisions of this replica on join requests, as the leader.
+    pub joins: Family<JoinLabel, Counter>,
     /// Connections to the other replicas.
     pub connections: ConnectionFamilies,
     /// Syncs of the log to disk.
@@ -81,6 +90,7 @@
             "Calls through the leader that failed, by the step that they had reached",
             self.failed_calls.clone(),
         );
+        registry.register("joins", "Decisions on join requests", self.joins.clone());
         self.connections.register(registry.sub_registry_with_prefix("replica"));
         registry.register("syncs", "Writes made durable", self.syncs.clone());
         registry.register("log_bytes", "Bytes of the log file", self.log_bytes.clone());
--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -47,6 +47,23 @@
     SlotLost,
 }
 
+/// A member slot as recorded by the leader, for logs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SlotView {
+    /// Number of the slot.
+    pub id: u64,
+    /// Newest voting disk; empty if the slot is vacant.
+    pub voting_disk: String,
+    /// Disk of the last acknowledgement under this number.
+    pub last_acked_disk: Option<String>,
+    /// Time since the last message under this number.
+    pub silence: Duration,
+    /// Disk of the learner that was last admitted.
+    pub learner_disk: Option<String>,
+    /// Time since the learner was admitted or last acknowledged a message.
+    pub learner_silence: Option<Duration>,
+}
+
 /// A replica that was admitted to catch up.
 #[derive(Debug)]
 pub(super) struct Learner {
@@ -117,6 +134,23 @@
         JoinDecision::Granted(id)
     }
 
+    /// Returns the member slots of the other replicas; empty if this replica is not the leader.
+    pub fn slot_views(&self, now: Timestamp) -> Vec<SlotView> {
+        let Role::Leader(state) = &self.role else { return Vec::new() };
+        let view = |(id, progress): (&u64, &Progress)| {
+            let learner = state.learners.get(id);
+            SlotView {
+                id: *id,
+                voting_disk: self.voting_disk(*id),
+                last_acked_disk: progress.disk.clone(),
+                silence: now.since(progress.last_seen),
+                learner_disk: learner.map(|l| l.disk.clone()),
+                learner_silence: learner.map(|l| now.since(l.last_seen)),
+            }
+        };
+        state.progress.iter().map(view).collect()
+    }
+
     fn own_address(&self) -> Option<&str> {
         let initial = || self.opts.addresses.get(&self.opts.id).map(String::as_str);
         self.logged_address(self.opts.id).or_else(initial)
--- a/crates/cherrystream-core/src/raft/mod.rs
+++ b/crates/cherrystream-core/src/raft/mod.rs
@@ -19,7 +19,7 @@
 mod ready;
 pub mod rejoin;
 
-pub use joining::{JoinDecision, JoiningReplica};
+pub use joining::{JoinDecision, JoiningReplica, SlotView};
 pub use leader::ReplicaView;
 pub use log::Log;
 pub use options::Options;
