Raft: a learner is not told that its slot is lost to the replica that it replaces

After the next loss of one disk there is no quorum: config.read gets 503, the acknowledged configuration does not come, and where all power is lost nothing is served any more.

Cause: two decisions of one leader about one slot used different evidence. It grants the slot because the holder has been silent for 1.5 s. The replacement repeats its request 0.4 s after its start, until its disk votes. If no message of the leader has reached it by then, which happens when the leader is still connecting to the dead address, `has_lost_slot` compared the slot's disk with the last disk that ever acknowledged anything under the number, whatever the age of that acknowledgement, and reported the slot as lost to the dead replica. The replacement set its log aside and began again with another disk; its own expired grant then kept the slot from it for 3 s, after which the same followed in the same rhythm.

Change: a slot is lost only to a disk that the leader is in contact with, by the same time that allows a replacement, and never while the asking disk is that of the learner admitted for the slot. A grant ends with its learner: a learner that was silent for longer gets no slot whose holder has returned.

Why it works: the leader now contradicts a grant only when what it rested on has changed. The replacement's requests renew the grant, so the address stays the new one until the connection is open.

--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -116,7 +116,9 @@
         }
         self.record_pending_join(now, joining);
         let id = match joining.runs_as {
-            Some(id) if self.has_lost_slot(id, joining.disk) => return JoinDecision::SlotLost,
+            Some(id) if self.has_lost_slot(now, id, joining.disk) => {
+                return JoinDecision::SlotLost;
+            }
             Some(id) => Some(id).filter(|id| self.may_use_slot(now, *id, joining)),
             None => self.find_slot(now, joining),
         };
@@ -157,22 +159,33 @@
     }
 
     /// Returns whether a committed entry names another disk for a slot, and that disk is in use: it
-    /// is this leader's own disk, or the last one seen under that number.
-    fn has_lost_slot(&self, id: u64, disk: &str) -> bool {
+    /// is this leader's own disk, or one that the leader is in contact with. The learner that was
+    /// admitted for a slot has not lost it to the holder that it replaces.
+    fn has_lost_slot(&self, now: Timestamp, id: u64, disk: &str) -> bool {
         let Role::Leader(state) = &self.role else { return false };
         let committed = self.members.as_ref().and_then(|m| m.disks.get(&id.to_string()));
         let Some(voting) = committed.filter(|d| *d != VACANT && *d != disk) else { return false };
         if id == self.opts.id {
             return *voting == self.opts.disk;
         }
-        state.progress.get(&id).is_some_and(|p| p.disk.as_ref() == Some(voting))
+        if self.is_learner(now, id, disk) {
+            return false;
+        }
+        let in_contact = |p: &Progress| now.since(p.last_seen) < REPLACEMENT_TIMEOUT;
+        state.progress.get(&id).is_some_and(|p| p.disk.as_ref() == Some(voting) && in_contact(p))
+    }
+
+    /// Returns whether a disk is that of the learner that is catching up for a slot.
+    fn is_learner(&self, now: Timestamp, id: u64, disk: &str) -> bool {
+        let Role::Leader(state) = &self.role else { return false };
+        state.learners.get(&id).is_some_and(|l| l.is_alive(now) && l.has_disk(disk))
     }
 
     /// Returns whether a replica may run under the number that it asks for.
     fn may_use_slot(&self, now: Timestamp, id: u64, joining: JoiningReplica<'_>) -> bool {
         let exists = self.others().contains(&id);
         let free = || self.is_free(now, id) || self.is_replaceable(now, id, joining.stands_by);
-        exists && (self.is_assigned(id, joining.disk) || free())
+        exists && (self.is_assigned(now, id, joining.disk) || free())
     }
 
     fn find_slot(&self, now: Timestamp, joining: JoiningReplica<'_>) -> Option<u64> {
@@ -180,7 +193,7 @@
         let others = self.others();
         let find = |wanted: &dyn Fn(u64) -> bool| others.iter().copied().find(|id| wanted(*id));
         // Repeated requests of a replica get the same number.
-        let assigned = || find(&|id| self.is_assigned(id, disk));
+        let assigned = || find(&|id| self.is_assigned(now, id, disk));
         let same_host = || find(&|id| self.logged_address(id) == Some(address));
         let suits = |id: u64| self.is_suitable(now, id, joining);
         let vacant = || find(&|id| self.is_free(now, id) && suits(id));
@@ -204,10 +217,8 @@
     }
 
     /// Returns whether a disk is the voting disk of a slot, or that of its learner.
-    fn is_assigned(&self, id: u64, disk: &str) -> bool {
-        let Role::Leader(state) = &self.role else { return false };
-        let learner = state.learners.get(&id);
-        self.is_member(id, disk) || learner.is_some_and(|l| l.disk == disk)
+    fn is_assigned(&self, now: Timestamp, id: u64, disk: &str) -> bool {
+        self.is_member(id, disk) || self.is_learner(now, id, disk)
     }
 
     /// Returns whether a learner is catching up for a slot.
--- a/crates/cherrystream-core/tests/raft_cluster/mod.rs
+++ b/crates/cherrystream-core/tests/raft_cluster/mod.rs
@@ -13,7 +13,11 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+/// Heartbeat interval, election timeout and first election timeout of a group formed from seeds.
+const SEEDED_TIMEOUTS: [Duration; 3] =
+    [Duration::from_millis(200), Duration::from_millis(700), Duration::from_millis(80)];
 /// The log is compacted only beyond this index.
 const MIN_COMPACTED_INDEX: u64 = 4;
 
@@ -43,6 +47,8 @@
     /// Whether it has no member slot and therefore does not run.
     pub without_slot: bool,
     pub raft: Option<Raft>,
+    /// Addresses of the group that it was told when it was granted a slot.
+    pub granted_addresses: BTreeMap<u64, String>,
     pub disk: Disk,
     /// Applied entries by index.
     pub applied: BTreeMap<u64, String>,
@@ -69,6 +75,8 @@
     /// Number of replicas that bootstrap the group; the other slots start vacant.
     pub bootstrap_replicas: usize,
     pub slots: usize,
+    /// Whether the group is formed from seeds: addresses are recorded, and timeouts are shorter.
+    pub seeded: bool,
     rng: SmallRng,
 }
 
@@ -141,15 +149,30 @@
             next_read: 0,
             bootstrap_replicas,
             slots,
+            seeded: false,
             rng: SmallRng::seed_from_u64(1),
         }
     }
 
+    /// Adds a stopped host without a slot, and returns its index.
+    pub fn add_host(&mut self) -> usize {
+        self.add(0);
+        let i = self.replicas.len() - 1;
+        self.replicas[i].without_slot = true;
+        i
+    }
+
     fn add(&mut self, number: u64) {
         let disk = self.new_disk();
-        let applied = BTreeMap::new();
-        let (replaced, without_slot, raft) = (false, false, None);
-        self.replicas.push(Replica { number, replaced, without_slot, raft, disk, applied });
+        self.replicas.push(Replica {
+            number,
+            replaced: false,
+            without_slot: false,
+            raft: None,
+            granted_addresses: BTreeMap::new(),
+            disk,
+            applied: BTreeMap::new(),
+        });
     }
 
     fn options(&self, i: usize, disk: &str) -> Options {
@@ -160,10 +183,20 @@
             true => address(i),
             false => String::new(),
         };
-        let addresses = match self.bootstrap_replicas < slots {
+        let granted = &self.replicas[i].granted_addresses;
+        let addresses = match self.seeded || self.bootstrap_replicas < slots {
+            true if !granted.is_empty() => granted.clone(),
             true => (0..slots).map(|i| (i as u64 + 1, address(i))).collect(),
             false => BTreeMap::new(),
         };
+        let timeouts = match self.seeded {
+            true => SEEDED_TIMEOUTS,
+            false => {
+                let defaults = Options::default();
+                [defaults.heartbeat, defaults.election, defaults.first_election]
+            }
+        };
+        let [heartbeat, election, first_election] = timeouts;
         Options {
             id,
             disk: disk.into(),
@@ -173,7 +206,9 @@
             failure_domain: failure_domain(i),
             seed: self.starts * 31 + id,
             started_ms: self.starts,
-            ..Options::default()
+            heartbeat,
+            election,
+            first_election,
         }
     }
 
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -40,6 +40,20 @@
     }
 }
 
+/// Asks the leader for the slot under whose number a replica already runs.
+fn request_again(cluster: &mut Cluster, disk: &str, id: u64) -> JoinDecision {
+    let now = cluster.now;
+    let i = leader(cluster);
+    let joining = JoiningReplica {
+        address: NEW_ADDRESS,
+        disk,
+        failure_domain: "",
+        stands_by: false,
+        runs_as: Some(id),
+    };
+    cluster.replicas[i].raft.as_mut().unwrap().admit(now, joining)
+}
+
 /// Returns a group of three, the index of its lost replica, and the disk of a joining replica.
 fn with_lost_replica() -> (Cluster, usize, Disk) {
     let mut cluster = Cluster::new();
@@ -114,6 +128,56 @@
     assert_eq!(cluster.committed.len(), before, "a replaced disk helped to commit");
 }
 
+/// Guards against a replacement that discards its log again and again: the leader granted it the
+/// slot of a silent replica, and must not take the slot back on behalf of that replica.
+#[test]
+fn a_learner_that_asks_again_before_its_first_acknowledgement_keeps_its_slot() {
+    let (mut cluster, gone, disk) = with_lost_replica();
+    run(&mut cluster, 40);
+    let id = gone as u64 + 1;
+    assert_eq!(admit(&mut cluster, &disk), Some(id));
+    run(&mut cluster, 8);
+    assert_eq!(request_again(&mut cluster, &disk.id, id), JoinDecision::Granted(id));
+    // Each request renews the grant.
+    run(&mut cluster, 50);
+    assert_eq!(request_again(&mut cluster, &disk.id, id), JoinDecision::Granted(id));
+    run(&mut cluster, 50);
+    assert_eq!(request_again(&mut cluster, &disk.id, id), JoinDecision::Granted(id));
+}
+
+/// Guards against a slot reported as lost to a holder that may itself be lost: only a holder that
+/// the leader is in contact with takes it.
+#[test]
+fn no_slot_is_lost_to_a_silent_holder() {
+    let (mut cluster, gone, disk) = with_lost_replica();
+    let id = gone as u64 + 1;
+    let old = cluster.replicas[gone].disk.id.clone();
+    run(&mut cluster, 40);
+    assert_eq!(admit(&mut cluster, &disk), Some(id));
+    cluster.replicas[gone].disk = disk;
+    cluster.start(gone);
+    run(&mut cluster, 20);
+    assert!(cluster.replicas[gone].raft.as_ref().unwrap().is_voter());
+    assert_eq!(request_again(&mut cluster, &old, id), JoinDecision::SlotLost);
+    cluster.replicas[gone].raft = None;
+    run(&mut cluster, 80);
+    assert_eq!(request_again(&mut cluster, &old, id), JoinDecision::Granted(id));
+}
+
+/// Guards against a grant that outlives its learner: a holder that has returned keeps its slot.
+#[test]
+fn a_learner_that_was_silent_for_long_gets_no_slot_whose_holder_has_returned() {
+    let (mut cluster, gone, disk) = with_lost_replica();
+    run(&mut cluster, 40);
+    let id = gone as u64 + 1;
+    assert_eq!(admit(&mut cluster, &disk), Some(id));
+    run(&mut cluster, 80);
+    cluster.start(gone);
+    run(&mut cluster, 20);
+    assert_eq!(admit(&mut cluster, &disk), None);
+    assert_eq!(request_again(&mut cluster, &disk.id, id), JoinDecision::SlotLost);
+}
+
 #[test]
 fn quorum_contact_ages_on_a_leader_in_a_minority() {
     let (mut cluster, gone, _) = with_lost_replica();
--- a/crates/cherrystream-core/tests/raft_random.rs
+++ b/crates/cherrystream-core/tests/raft_random.rs
@@ -7,6 +7,7 @@
 mod raft_bootstrap;
 mod raft_cluster;
 mod raft_joining;
+mod raft_replacements;
 
 use arbtest::arbitrary::{Result as ArbResult, Unstructured};
 use raft_cluster::{Cluster, Replica};
