Raft: leadership is transferred only to a replica in contact

What callers saw: a control replica that is stopped while another one is lost may hand over to the lost one. Proposals are refused for the transfer, the replica ends after 1.5 s, and there is no leader until an election; a replacement that is joining waits for it.

The first replica whose log was complete when it was last heard of got the leadership, whether it had been silent since or not, and again on each reply of the others.

Change: only a replica heard of within two heartbeat intervals. Each reply continues the transfer, so one that replies late is considered then.

Evidence: leadership_is_transferred_to_no_lost_replica failed before (the old leader still led 200 ms later where the lost replica has the lower number) and passes.

--- a/crates/cherrystream-core/src/raft/leader.rs
+++ b/crates/cherrystream-core/src/raft/leader.rs
@@ -122,24 +122,27 @@
         }
     }
 
-    /// Transfers the leadership to a replica whose log is complete.
+    /// Transfers the leadership to a replica that is in contact and whose log is complete.
     pub fn transfer_leadership(&mut self, now: Timestamp) {
         let until = now + self.opts.election;
         if let Role::Leader(state) = &mut self.role {
             state.transfer_until = Some(until);
-            self.continue_transfer();
+            self.continue_transfer(now);
         }
     }
 
-    fn continue_transfer(&mut self) {
+    fn continue_transfer(&mut self, now: Timestamp) {
         let last = self.log.last().index;
         let Role::Leader(state) = &self.role else { return };
         if state.transfer_until.is_none() {
             return;
         }
-        let ready = state.progress.iter().find(|(id, p)| {
-            p.match_index == last && p.disk.as_deref().is_some_and(|d| self.is_member(**id, d))
-        });
+        // Each reply continues the transfer, so a replica that replies late is not passed over.
+        let in_contact = |p: &Progress| now.since(p.last_seen) < self.opts.heartbeat * 2;
+        let ready = state
+            .progress
+            .iter()
+            .find(|(id, p)| p.match_index == last && in_contact(p) && self.is_voting(**id, p));
         if let Some((id, _)) = ready {
             let id = *id;
             self.send_after_save(id, RaftBody::TimeoutNow);
@@ -333,7 +336,7 @@
         if success {
             self.commit_by_quorum();
             self.replace_disk_if_caught_up(now, &ack);
-            self.continue_transfer();
+            self.continue_transfer(now);
         }
         self.confirm_reads();
         self.replicate(now, ack.from, false);
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -164,6 +164,26 @@
     assert_eq!(request_again(&mut cluster, &old, id), JoinDecision::Granted(id));
 }
 
+/// Guards against a leader that stops and hands over to a lost replica, so that the group has no
+/// leader until an election.
+#[test]
+fn leadership_is_transferred_to_no_lost_replica() {
+    for lost in 0..3 {
+        let mut cluster = Cluster::new();
+        run(&mut cluster, 80);
+        let first = leader(&cluster);
+        if lost == first {
+            continue;
+        }
+        cluster.replicas[lost].raft = None;
+        run(&mut cluster, 8);
+        let now = cluster.now;
+        cluster.replicas[first].raft.as_mut().unwrap().transfer_leadership(now);
+        run(&mut cluster, 4);
+        assert_eq!(leader(&cluster), 3 - first - lost, "replica {lost} is lost");
+    }
+}
+
 /// Guards against a grant that outlives its learner: a holder that has returned keeps its slot.
 #[test]
 fn a_learner_that_was_silent_for_long_gets_no_slot_whose_holder_has_returned() {
