Raft: a new leader keeps slots for the replacements that its predecessor admitted

What callers saw: with two hosts of a group of five lost at once and a change of leader, one of two replacements did not vote 7 s after its start.

A new one must see the holder silent for 1.5 s before it admits anybody, and then gave the slot to whoever asked first, also to a host without any slot while the replacement that already ran under that number was asking for it. That one was refused, told 2 s later that its slot was lost, and began anew.

Change: requests of replicas that run under a number are recorded like the others. A slot that one of them asks for goes to no other replica, unless the one that asks is a standby, which has to wait longer.

--- a/crates/cherrystream-core/src/raft/placement.rs
+++ b/crates/cherrystream-core/src/raft/placement.rs
@@ -20,6 +20,9 @@
 #[derive(Debug)]
 struct PendingJoin {
     failure_domain: String,
+    /// Slot under whose number it already runs.
+    runs_as: Option<u64>,
+    stands_by: bool,
     first_request: Timestamp,
     last_request: Timestamp,
 }
@@ -35,6 +38,8 @@
         self.by_disk.retain(|_, join| now.since(join.last_request) < REQUEST_EXPIRY);
         let fresh = || PendingJoin {
             failure_domain: joining.failure_domain.into(),
+            runs_as: joining.runs_as,
+            stands_by: joining.stands_by,
             first_request: now,
             last_request: now,
         };
@@ -42,32 +47,44 @@
         join.last_request = now;
     }
 
+    /// Returns the other replicas that ask.
+    fn others(&self, now: Timestamp, disk: &str) -> impl Iterator<Item = &PendingJoin> {
+        let others = self.by_disk.iter().filter(move |(other, join)| {
+            other.as_str() != disk && now.since(join.last_request) < REQUEST_EXPIRY
+        });
+        others.map(|(_, join)| join)
+    }
+
     /// Returns the time since the first request of a replica.
     fn waited(&self, now: Timestamp, disk: &str) -> Duration {
         self.by_disk.get(disk).map_or(Duration::ZERO, |join| now.since(join.first_request))
     }
 
-    /// Returns the failure domains of the other replicas that ask.
+    /// Returns the failure domains of the other replicas that ask and do not run under a number.
     fn other_domains(&self, now: Timestamp, disk: &str) -> impl Iterator<Item = &str> {
-        let others = self.by_disk.iter().filter(move |(other, join)| {
-            other.as_str() != disk && now.since(join.last_request) < REQUEST_EXPIRY
-        });
-        others.map(|(_, join)| join.failure_domain.as_str())
+        let without_slot = self.others(now, disk).filter(|join| join.runs_as.is_none());
+        without_slot.map(|join| join.failure_domain.as_str())
+    }
+
+    /// Returns whether another replica, admitted by an earlier leader, asks for a slot again. A
+    /// standby replica does not count, since it has to wait longer than one that replaces a lost
+    /// replica.
+    fn is_requested_again(&self, now: Timestamp, slot: u64, disk: &str) -> bool {
+        self.others(now, disk).any(|join| join.runs_as == Some(slot) && !join.stands_by)
     }
 }
 
 impl Raft {
-    /// Records the request of a replica without a member slot.
+    /// Records the request of a replica whose disk does not vote.
     pub(super) fn record_pending_join(&mut self, now: Timestamp, joining: JoiningReplica<'_>) {
-        if joining.runs_as.is_none()
-            && let Role::Leader(state) = &mut self.role
-        {
+        if let Role::Leader(state) = &mut self.role {
             state.pending_joins.record(now, joining);
         }
     }
 
-    /// Returns whether a slot may go to a joining replica now: no failure domain that asks holds
-    /// fewer slots, and others had time to ask. A replica that replaces a lost one does not wait,
+    /// Returns whether a slot may go to a joining replica now: no replica that already runs under
+    /// its number asks for it, no failure domain that asks holds fewer slots, and others had time to
+    /// ask. A replica that replaces a lost one does not wait,
     /// because the group lacks a replica until then, and standby replicas wait longer for that slot
     /// anyway.
     pub(super) fn is_suitable(
@@ -77,6 +94,9 @@
         joining: JoiningReplica<'_>,
     ) -> bool {
         let Role::Leader(state) = &self.role else { return false };
+        if state.pending_joins.is_requested_again(now, slot, joining.disk) {
+            return false;
+        }
         let held = self.slots_by_domain(now, slot);
         let count = |domain: &str| held.get(domain).copied().unwrap_or(0);
         let own = count(joining.failure_domain);
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -184,6 +184,31 @@
     }
 }
 
+/// Guards against a replacement that loses its slot to another one because a new leader has no
+/// record of its grant.
+#[test]
+fn a_slot_that_an_earlier_leader_granted_goes_to_no_other_replacement() {
+    let mut cluster = Cluster::of(5, 5);
+    run(&mut cluster, 80);
+    let first = leader(&cluster);
+    let mut lost = (0..5).filter(|i| *i != first);
+    let [low, high] = [lost.next().unwrap(), lost.next().unwrap()];
+    cluster.replicas[low].raft = None;
+    cluster.replicas[high].raft = None;
+    run(&mut cluster, 40);
+    let [disk, other] = [0; 2].map(|_| cluster.new_disk());
+    let (low, high) = (low as u64 + 1, high as u64 + 1);
+    assert_eq!(admit(&mut cluster, &disk), Some(low));
+    let now = cluster.now;
+    cluster.replicas[first].raft.as_mut().unwrap().transfer_leadership(now);
+    run(&mut cluster, 4);
+    assert_ne!(leader(&cluster), first);
+    assert_eq!(request_again(&mut cluster, &disk.id, low), JoinDecision::Deferred);
+    run(&mut cluster, 30);
+    assert_eq!(admit(&mut cluster, &other), Some(high));
+    assert_eq!(request_again(&mut cluster, &disk.id, low), JoinDecision::Granted(low));
+}
+
 /// Guards against a grant that outlives its learner: a holder that has returned keeps its slot.
 #[test]
 fn a_learner_that_was_silent_for_long_gets_no_slot_whose_holder_has_returned() {
