Net: an attempt to connect ends when the address changes

Cause: the task that opens connections looked at the address only between attempts. An attempt to reach a lost host lasts until its timeout (400 ms), is followed by a pause (200 ms), and the callers' own pauses come on top. The same when a silent connection was being replaced.

Change: a change of the address ends the attempt, the pause after a failed one, and the replacement of a silent connection; the new address is tried at once.

--- a/crates/cherrystream-net/src/managed_client.rs
+++ b/crates/cherrystream-net/src/managed_client.rs
@@ -170,9 +170,22 @@
         }
     }
 
-    /// Opens a connection. Returns `None` after a failure, once calls may try again.
+    /// Opens a connection. Returns `None` after a failure, once calls may try again. Begins anew
+    /// when the address changes, because an attempt to reach a lost host lasts until its timeout.
     async fn open(&mut self) -> Option<Arc<Client>> {
-        self.address.mark_unchanged();
+        loop {
+            self.address.mark_unchanged();
+            let mut address = self.address.clone();
+            tokio::select! {
+                client = self.attempt() => return client,
+                () = changed(&mut address) => {}
+            }
+            self.state.send_replace(State::Closed);
+        }
+    }
+
+    /// Tries to open a connection. Returns `None` after a failure and a pause.
+    async fn attempt(&self) -> Option<Arc<Client>> {
         if let Some(client) = self.connect().await {
             return Some(client);
         }
@@ -181,7 +194,7 @@
         None
     }
 
-    async fn connect(&mut self) -> Option<Arc<Client>> {
+    async fn connect(&self) -> Option<Arc<Client>> {
         let address = self.address.borrow().clone();
         let opts = &self.opts;
         let connect_options = ConnectOptions {
@@ -235,21 +248,28 @@
             let action = keep_alive.check(now, &traffic);
             self.publish_silence(keep_alive.is_unreachable(now, &traffic));
             match action {
-                Action::Replace => match self.connect().await {
-                    // A byte that has arrived meanwhile shows that the connection works.
-                    Some(replacement)
-                        if keep_alive.is_silent(activity.now(), &activity.traffic()) =>
-                    {
-                        return Some(replacement);
-                    }
-                    Some(_) => {}
-                    None => {
-                        if !keep_alive.is_unreachable(now, &traffic) {
-                            self.log_silence(client, "kept, because no new one can be opened");
+                Action::Replace => {
+                    let mut address = self.address.clone();
+                    let replacement = tokio::select! {
+                        replacement = self.connect() => replacement,
+                        () = changed(&mut address) => return None,
+                    };
+                    match replacement {
+                        // A byte that has arrived meanwhile shows that the connection works.
+                        Some(replacement)
+                            if keep_alive.is_silent(activity.now(), &activity.traffic()) =>
+                        {
+                            return Some(replacement);
+                        }
+                        Some(_) => {}
+                        None => {
+                            if !keep_alive.is_unreachable(now, &traffic) {
+                                self.log_silence(client, "kept, because no new one can be opened");
+                            }
+                            keep_alive.on_attempt_failed(activity.now());
                         }
-                        keep_alive.on_attempt_failed(activity.now());
                     }
-                },
+                }
                 Action::Check(at) => {
                     let ended = self.wait_for_end(client);
                     if tokio::time::timeout(at.since(now), ended).await.is_ok() {
@@ -267,15 +287,9 @@
 
     /// Waits until a connection has ended or the address has changed.
     async fn wait_for_end(&mut self, client: &Client) {
-        let changed = async {
-            if self.address.changed().await.is_err() {
-                // The address cannot change any more.
-                future::pending().await
-            }
-        };
         tokio::select! {
             _ = client.on_disconnect() => {}
-            () = changed => {}
+            () = changed(&mut self.address) => {}
         }
     }
 
@@ -295,3 +309,11 @@
         });
     }
 }
+
+/// Waits until the address changes.
+async fn changed(address: &mut watch::Receiver<String>) {
+    if address.changed().await.is_err() {
+        // The address cannot change any more.
+        future::pending().await
+    }
+}
--- a/crates/cherrystream-net/tests/managed_client.rs
+++ b/crates/cherrystream-net/tests/managed_client.rs
@@ -28,6 +28,14 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which callers give up.
 const PATIENCE: Duration = Duration::from_millis(100);
+/// Time after which an attempt to connect times out.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which an attempt to connect has begun.
+const ATTEMPT_BEGINS: Duration = Duration::from_millis(50);
+/// Longest time until a call is answered after a change of the address. Less than what is left of
+/// an attempt to connect, or of the pause after it; one of some tries suffices on a busy machine.
+const ADDRESS_CHANGE_TIMEOUT: Duration = Duration::from_millis(140);
+const TRIES: usize = 4;
 /// Pause between two calls.
 const CALL_PAUSE: Duration = Duration::from_millis(20);
 /// Longest answer to a caller whose peer is known to be unreachable.
@@ -68,7 +76,7 @@
 struct Caller {
     client: ManagedClient,
     metrics: ConnectionMetrics,
-    _address: watch::Sender<String>,
+    address: watch::Sender<String>,
 }
 
 impl Caller {
@@ -86,7 +94,7 @@
         };
         let address = watch::Sender::new(address.to_string());
         let client = ManagedClient::new(address.subscribe(), opts);
-        Caller { client, metrics, _address: address }
+        Caller { client, metrics, address }
     }
 
     /// Sends a call. Returns whether it was answered.
@@ -134,6 +142,61 @@
     }
 }
 
+/// Returns an address at which connections open but no handshake is answered.
+async fn start_mute_listener() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.push(stream);
+        }
+    });
+    address
+}
+
+/// Changes the address of a client to that of a new server, and returns the time until a call is
+/// answered.
+async fn change_address(caller: &Caller) -> Duration {
+    let server = start_server().await;
+    let start = Instant::now();
+    caller.address.send_replace(server);
+    caller.first_answer().await.expect("no answer from the new address");
+    start.elapsed()
+}
+
+/// Guards against calls to a peer at a new address that wait until the attempt to reach its old
+/// address has timed out, and for the pause after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_to_connect_ends_when_the_address_changes() {
+    for delay in [ATTEMPT_BEGINS, CONNECT_TIMEOUT + ATTEMPT_BEGINS] {
+        let mut shortest = Duration::MAX;
+        for _ in 0..TRIES {
+            let caller = Caller::new(&start_mute_listener().await);
+            let early = tokio::time::timeout(delay, caller.first_answer()).await;
+            assert!(early.is_err(), "a call was answered by the old address");
+            shortest = shortest.min(change_address(&caller).await);
+        }
+        assert!(shortest < ADDRESS_CHANGE_TIMEOUT, "{delay:?}: answered after {shortest:?}");
+    }
+}
+
+/// Guards against calls to a peer at a new address that wait until an attempt to replace a silent
+/// connection to its old address has timed out.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_to_replace_a_connection_ends_when_the_address_changes() {
+    let mut shortest = Duration::MAX;
+    for _ in 0..TRIES {
+        let (caller, relay) = connect().await;
+        relay.set(Mode::Hold);
+        let silent = CALL_KEEP_ALIVE.timeout + ATTEMPT_BEGINS;
+        let early = tokio::time::timeout(silent, caller.first_answer()).await;
+        assert!(early.is_err(), "a call was answered by the old address");
+        shortest = shortest.min(change_address(&caller).await);
+    }
+    assert!(shortest < ADDRESS_CHANGE_TIMEOUT, "answered after {shortest:?}");
+}
+
 /// Guards against silence that is detected only by calls.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_silent_connection_is_replaced() {
