Control: a replacement repeats its request as a replacement, not as a standby

What callers saw: if the leader changes while a replacement catches up, the group stays without that voter for 10 s and more; the next loss of a disk then leaves no quorum.

Cause: a running replica asked for its slot with `stands_by` set, whatever its first request had said. A new leader has no record of the grant, so it waited the time that it lets standby replicas wait (10 s of silence since its own election) and not that of replacements (1.5 s).

Change: the repeated request carries the flag of the first one.

--- a/crates/cherrystream-control/src/member_slot.rs
+++ b/crates/cherrystream-control/src/member_slot.rs
@@ -77,6 +77,18 @@
         }
     }
 
+    /// Returns the request with which this replica asks for its slot again. It stands by only if its
+    /// first request did, so that a new leader does not let it wait longer than the previous one.
+    pub fn join_request(&self, settings: &ControlSettings) -> JoinRequest {
+        JoinRequest {
+            address: settings.rpc_address.clone(),
+            disk: self.identity.disk.clone(),
+            failure_domain: self.failure_domain.clone(),
+            stands_by: settings.found,
+            runs_as: Some(self.identity.replica),
+        }
+    }
+
     /// Returns the connections to the other replicas.
     pub fn connections(
         &self,
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -81,13 +81,7 @@
             driver::start(folder, opts, peers, cx.metrics.clone(), cx.on_failure)?;
         let mut join_task = JoinSet::new();
         if !place.fixed {
-            let request = JoinRequest {
-                address: settings.rpc_address.clone(),
-                disk: place.identity.disk.clone(),
-                failure_domain: cx.failure_domain.clone(),
-                stands_by: true,
-                runs_as: Some(handle.replica),
-            };
+            let request = place.join_request(settings);
             join_task.spawn(keep_slot(handle.clone(), request, cx.key.clone()));
         }
         let reach = Arc::new(DaemonRegistry::default());
