Raft: a member that asks for votes is not replaced

What callers saw: with two hosts of a group of five lost and a change of leader, a replacement could take the slot of a healthy member, which discarded its log and joined again at another slot; the group was short of a vote for that time.

A member that its first messages reach late counted as lost after 1.5 s although its vote requests arrived.

Change: a vote request of a voting disk ends its silence as far as replacing it is concerned. Quorum checks still count replies alone.

Evidence: a_member_that_requests_votes_keeps_its_slot failed before (the slot was granted) and passes.

--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -145,7 +145,7 @@
                 id: *id,
                 voting_disk: self.voting_disk(*id),
                 last_acked_disk: progress.disk.clone(),
-                silence: now.since(progress.last_seen),
+                silence: progress.silence(now),
                 learner_disk: learner.map(|l| l.disk.clone()),
                 learner_silence: learner.map(|l| now.since(l.last_seen)),
             }
@@ -237,8 +237,8 @@
     fn is_replaceable(&self, now: Timestamp, id: u64, stands_by: bool) -> bool {
         let Role::Leader(state) = &self.role else { return false };
         let timeout = if stands_by { STANDBY_TIMEOUT } else { REPLACEMENT_TIMEOUT };
-        let last_seen = state.progress.get(&id).map(|p| p.last_seen);
-        !self.has_learner(now, id) && last_seen.is_some_and(|at| now.since(at) >= timeout)
+        let is_silent = |p: &Progress| p.silence(now) >= timeout;
+        !self.has_learner(now, id) && state.progress.get(&id).is_some_and(is_silent)
     }
 
     /// Returns the addresses and failure domains of all replicas; empty where addresses are fixed.
--- a/crates/cherrystream-core/src/raft/leader.rs
+++ b/crates/cherrystream-core/src/raft/leader.rs
@@ -5,7 +5,7 @@
 use super::progress::{MAX_ENTRIES_IN_FLIGHT, Progress, RESEND_TIMEOUT, end_of_message};
 use super::{NotLeader, Position, Raft, ReadyRead, Role};
 use crate::units::Timestamp;
-use cherrystream_schema::messages::{Command, Entry, RaftBody, Snapshot};
+use cherrystream_schema::messages::{Command, Entry, RaftBody, RaftMessage, Snapshot};
 use std::collections::BTreeMap;
 
 /// State of a leader.
@@ -297,6 +297,18 @@
         self.send_now(to, RaftBody::Install { snapshot, round });
     }
 
+    /// Records that a voting member runs though it asks for votes.
+    pub(super) fn record_vote_request(&mut self, now: Timestamp, msg: &RaftMessage) {
+        if !matches!(msg.body, RaftBody::Vote { .. }) || !self.is_member(msg.from, &msg.disk) {
+            return;
+        }
+        if let Role::Leader(state) = &mut self.role
+            && let Some(progress) = state.progress.get_mut(&msg.from)
+        {
+            progress.last_vote_request = now;
+        }
+    }
+
     pub(super) fn step_append_reply(
         &mut self,
         now: Timestamp,
--- a/crates/cherrystream-core/src/raft/mod.rs
+++ b/crates/cherrystream-core/src/raft/mod.rs
@@ -125,6 +125,7 @@
             return;
         }
         self.update_commit_from(&msg);
+        self.record_vote_request(now, &msg);
         if self.step_bootstrap(now, &msg) || self.step_pre_vote(now, &msg) {
             return;
         }
--- a/crates/cherrystream-core/src/raft/progress.rs
+++ b/crates/cherrystream-core/src/raft/progress.rs
@@ -31,13 +31,21 @@
     pub(super) match_known: bool,
     /// When the replica last advanced, or entries were last sent again.
     pub(super) last_progress: Timestamp,
-    /// When its last message was received.
+    /// When its last reply was received.
     pub(super) last_seen: Timestamp,
+    /// When its last vote request was received, which shows that it runs though no message of this
+    /// leader reaches it.
+    pub(super) last_vote_request: Timestamp,
     /// Time until which a snapshot counts as in flight.
     pub(super) snapshot_deadline: Option<Timestamp>,
 }
 
 impl Progress {
+    /// Returns the time since the replica last showed that it runs.
+    pub(super) fn silence(&self, now: Timestamp) -> Duration {
+        now.since(self.last_seen.max(self.last_vote_request))
+    }
+
     /// Returns whether entries in flight seem to be lost.
     pub(super) fn has_stalled(&self, now: Timestamp) -> bool {
         let in_flight = self.next > self.match_index + 1;
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -209,6 +209,37 @@
     assert_eq!(request_again(&mut cluster, &disk.id, low), JoinDecision::Granted(low));
 }
 
+/// Guards against a healthy member that loses its slot because a new leader's messages reach it
+/// late: its vote requests show that it runs.
+#[test]
+fn a_member_that_requests_votes_keeps_its_slot() {
+    let mut cluster = Cluster::of_hosts(3, 3, 3);
+    cluster.seeded = true;
+    (0..3).for_each(|i| cluster.start(i));
+    run(&mut cluster, 40);
+    let i = leader(&cluster);
+    let unreached = (i as u64 + 1) % 3 + 1;
+    for _ in 0..40 {
+        cluster.tick_all(50_000);
+        for _ in 0..4 {
+            for msg in std::mem::take(&mut cluster.in_flight) {
+                if msg.from == i as u64 + 1 && msg.to == unreached {
+                    continue;
+                }
+                cluster.in_flight.push(msg);
+                let last = cluster.in_flight.len() - 1;
+                cluster.deliver(last, false);
+            }
+        }
+    }
+    assert_eq!(leader(&cluster), i);
+    let disk = cluster.new_disk();
+    assert_eq!(admit(&mut cluster, &disk), None);
+    cluster.replicas[unreached as usize - 1].raft = None;
+    run(&mut cluster, 40);
+    assert_eq!(admit(&mut cluster, &disk), Some(unreached));
+}
+
 /// Guards against a grant that outlives its learner: a holder that has returned keeps its slot.
 #[test]
 fn a_learner_that_was_silent_for_long_gets_no_slot_whose_holder_has_returned() {
