Control: a bootstrap host that lost its member slot stands by

What callers saw: a host that bootstrapped the group, was suspended or cut off until another host had its slot, and came back, neither served nor stood by. Its control role started anew 2.7 times a second, each time with another disk and a file set aside, and would never have taken another slot that falls vacant.

Cause: the role starts again within the process with the settings of the process's first start, which allow the bootstrap. So it took the number of its seed for its own once more, was told again that the slot is lost, and so on.

Change: a start after the loss of the slot requests one from the members, whatever the settings allow.

Test hosts get ports of their own, since two tests of one process share the addresses.

--- a/crates/cherrystream-control/src/member_slot.rs
+++ b/crates/cherrystream-control/src/member_slot.rs
@@ -101,8 +101,20 @@
     }
 }
 
+/// Reason for which the control role starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleStart {
+    /// The process has started.
+    First,
+    /// The member slot was assigned to another host. The group exists, so it is not bootstrapped
+    /// again, whatever the settings allowed at the start of the process.
+    AfterSlotLoss,
+}
+
 /// Context for finding a member slot, besides the settings.
 pub struct FindContext<'a> {
+    /// Reason for which the role starts.
+    pub start: RoleStart,
     /// Failure domain of this host.
     pub failure_domain: &'a str,
     /// Key shared by the processes of the system.
@@ -147,7 +159,8 @@
         return Ok(MemberSlot { identity, addresses, fixed: false, failure_domain, may_bootstrap });
     }
     let own = seeds.iter().position(|address| *address == settings.rpc_address);
-    if let Some(position) = own.filter(|_| settings.found) {
+    let bootstraps = settings.found && cx.start == RoleStart::First;
+    if let Some(position) = own.filter(|_| bootstraps) {
         bootstrap_marker::write(&mut folder.fork())?;
         let identity = Identity { replica: position as u64 + 1, disk: new_disk };
         let addresses = slots;
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -9,7 +9,7 @@
 use crate::folder::DiskFolder;
 use crate::handle::{Event, Handle};
 use crate::incoming_transfers::IncomingTransfers;
-use crate::member_slot::{self, FindContext, MemberSlot};
+use crate::member_slot::{self, FindContext, MemberSlot, RoleStart};
 use crate::metrics::Metrics;
 use crate::operators::Operators;
 use crate::orders::OperatorCommands;
@@ -69,9 +69,26 @@
     ///
     /// Fails if the data folder, an address or a token file cannot be used.
     pub async fn start(settings: &ControlSettings, cx: Context) -> Result<Control> {
+        Control::start_as(settings, cx, RoleStart::First).await
+    }
+
+    /// Starts the role again after its member slot was assigned to another host.
+    ///
+    /// # Errors
+    ///
+    /// As [`Control::start`].
+    pub async fn start_after_slot_loss(settings: &ControlSettings, cx: Context) -> Result<Control> {
+        Control::start_as(settings, cx, RoleStart::AfterSlotLoss).await
+    }
+
+    async fn start_as(
+        settings: &ControlSettings,
+        cx: Context,
+        start: RoleStart,
+    ) -> Result<Control> {
         let folder = DiskFolder::try_new(&settings.data_folder)
             .map_err(errors::folder(format!("open {}", settings.data_folder)))?;
-        let place = find_place(settings, &cx, &folder).await?;
+        let place = find_place(settings, &cx, &folder, start).await?;
         let connections = place.connections(cx.key.as_ref(), &cx.metrics);
         let peers = Peers::start(place.identity.replica, &connections, cx.metrics.clone());
         let credentials = Arc::new(read_operators(&settings.operators)?);
@@ -198,8 +215,10 @@
     settings: &ControlSettings,
     cx: &Context,
     folder: &DiskFolder,
+    start: RoleStart,
 ) -> Result<MemberSlot> {
     let finder = FindContext {
+        start,
         failure_domain: &cx.failure_domain,
         key: cx.key.as_ref(),
         metrics: &cx.metrics,
--- a/crates/cherrystream-control/tests/member_slot.rs
+++ b/crates/cherrystream-control/tests/member_slot.rs
@@ -2,7 +2,7 @@
 
 use cherrystream_control::bootstrap_marker;
 use cherrystream_control::folder::DiskFolder;
-use cherrystream_control::member_slot::{self, FindContext, MemberSlot};
+use cherrystream_control::member_slot::{self, FindContext, MemberSlot, RoleStart};
 use cherrystream_control::metrics::Metrics;
 use cherrystream_control::store::Store;
 use cherrystream_core::settings;
@@ -24,7 +24,8 @@
 /// Finds the member slot of the first of three seeds.
 async fn find(folder: &Path, found: bool) -> MemberSlot {
     let metrics = Metrics::default();
-    let cx = FindContext { failure_domain: "z", key: None, metrics: &metrics };
+    let cx =
+        FindContext { start: RoleStart::First, failure_domain: "z", key: None, metrics: &metrics };
     let disk = DiskFolder::try_new(folder).unwrap();
     member_slot::find(&settings(folder, found), &disk, &cx).await.unwrap()
 }
--- a/crates/cherrystream/src/replica.rs
+++ b/crates/cherrystream/src/replica.rs
@@ -47,14 +47,16 @@
         let (failed, failures) = mpsc::unbounded_channel();
         let mut replica =
             Replica { opts, phases: Phases::default(), control: None, failed, failures };
-        replica.launch().await?;
+        let cx = replica.begin();
+        replica.control = Some(Control::start(&replica.opts.settings, cx).await?);
         Ok(replica)
     }
 
-    async fn launch(&mut self) -> Result<()> {
+    /// Returns the context of the next start of the role.
+    fn begin(&mut self) -> Context {
         self.phases = Phases::default();
         let failed = self.failed.clone();
-        let cx = Context {
+        Context {
             phases: self.phases.clone(),
             key: self.opts.key.clone(),
             failure_domain: self.opts.failure_domain.clone(),
@@ -64,9 +66,7 @@
                 // The receiver is gone once the process stops.
                 let _ = failed.send(e);
             }),
-        };
-        self.control = Some(Control::start(&self.opts.settings, cx).await?);
-        Ok(())
+        }
     }
 
     /// Waits until the role fails for good and returns the error. A replica whose member slot was
@@ -89,7 +89,9 @@
         if let Some(control) = self.control.take() {
             control.abandon().await;
         }
-        self.launch().await
+        let cx = self.begin();
+        self.control = Some(Control::start_after_slot_loss(&self.opts.settings, cx).await?);
+        Ok(())
     }
 
     /// Transfers the leadership and stops once the last answers are sent.
--- a/crates/cherrystream/tests/processes/places.rs
+++ b/crates/cherrystream/tests/processes/places.rs
@@ -4,40 +4,77 @@
 use super::support::process::{self, Process};
 use super::support::site::Site;
 use super::support::wait;
+use nix::sys::signal::Signal;
 use std::fs;
+use std::time::Duration;
 
-/// Ports of the replicas, the same on all hosts.
-const RPC: u16 = 7721;
-const API: u16 = 7722;
+/// Logged by a host that has lost its member slot.
+const SLOT_LOST: &str = "it requests a new slot when it starts again";
+/// Time for which a host that has lost its member slot is watched.
+const WATCH_TIME: Duration = Duration::from_secs(3);
 
-/// Starts a control host that finds its group by the seeds 1 to 3.
-fn start(site: &Site, host: u8, found: bool) -> Process {
-    let address = |host, port| site.side_address(host, port);
-    let seeds: Vec<String> = (1..=3).map(|seed| format!("'{}'", address(seed, API))).collect();
-    let folder = site.folder.path();
-    let text = format!(
-        "host: core-{host}\nfailure_domain: z{host}\nclosed_network: true\ncontrol:\n  rpc_address: \
-         {}\n  api_address: {}\n  data_folder: {}/data-{host}\n  found: {found}\n  losses_borne: 1\n  \
-         seeds: {{addresses: [{}], rpc_port: {RPC}}}\n",
-        address(host, RPC),
-        address(host, API),
-        folder.display(),
-        seeds.join(", ")
-    );
-    let file = folder.join(format!("core-{host}.yaml"));
-    fs::write(&file, text).unwrap();
-    let args = ["run", "--settings", file.to_str().unwrap()];
-    Process::start(&process::cherrystream(), &args, &folder.join(format!("core-{host}.log")))
+/// Control hosts that find their group by the seeds 1 to 3.
+struct Hosts {
+    site: Site,
+    /// Ports of the replicas, the same on all hosts. Tests share the addresses of hosts.
+    rpc_port: u16,
+    api_port: u16,
 }
 
-/// Waits until the control API of a host returns the configuration, as only a member's does.
-async fn wait_until_member(site: &Site, host: u8) {
-    let api = site.side_address(host, API);
-    wait::until(&format!("host {host} serves"), || async {
-        let answer = client::send(&api, &Ask::get("/v1/config")).await?;
-        answer.status.is_success().then_some(())
-    })
-    .await;
+impl Hosts {
+    fn new(rpc_port: u16) -> Hosts {
+        Hosts { site: Site::new(0), rpc_port, api_port: rpc_port + 1 }
+    }
+
+    fn start(&self, host: u8, found: bool) -> Process {
+        let api = |host| self.site.side_address(host, self.api_port);
+        let seeds: Vec<String> = (1..=3).map(|seed| format!("'{}'", api(seed))).collect();
+        let folder = self.site.folder.path();
+        let text = format!(
+            "host: core-{host}\nfailure_domain: z{host}\nclosed_network: true\ncontrol:\n  \
+             rpc_address: {}\n  api_address: {}\n  data_folder: {}/data-{host}\n  found: {found}\n  \
+             losses_borne: 1\n  seeds: {{addresses: [{}], rpc_port: {}}}\n",
+            self.site.side_address(host, self.rpc_port),
+            api(host),
+            folder.display(),
+            seeds.join(", "),
+            self.rpc_port
+        );
+        let file = folder.join(format!("core-{host}.yaml"));
+        fs::write(&file, text).unwrap();
+        let args = ["run", "--settings", file.to_str().unwrap()];
+        Process::start(&process::cherrystream(), &args, &folder.join(format!("core-{host}.log")))
+    }
+
+    /// Starts the hosts that bootstrap the group, and waits until they are members.
+    async fn bootstrap(&self) -> Vec<Process> {
+        let hosts = (1..=3).map(|host| self.start(host, true)).collect();
+        for host in 1..=3 {
+            self.wait_until_member(host).await;
+        }
+        hosts
+    }
+
+    /// Waits until the control API of a host returns the configuration, as only a member's does.
+    async fn wait_until_member(&self, host: u8) {
+        let api = self.site.side_address(host, self.api_port);
+        wait::until(&format!("host {host} serves"), || async {
+            let answer = client::send(&api, &Ask::get("/v1/config")).await?;
+            answer.status.is_success().then_some(())
+        })
+        .await;
+    }
+
+    async fn wait_until_slot_lost(&self, host: u8) {
+        wait::until(&format!("host {host} requests another member slot"), || async {
+            self.read_log(host).contains(SLOT_LOST).then_some(())
+        })
+        .await;
+    }
+
+    fn read_log(&self, host: u8) -> String {
+        fs::read_to_string(self.site.folder.path().join(format!("core-{host}.log"))).unwrap()
+    }
 }
 
 /// A host is lost, a joining replica takes its member slot, the host returns with its old disk, and
@@ -45,22 +82,31 @@
 /// again.
 #[tokio::test]
 async fn a_host_whose_member_slot_was_reassigned_joins_again_without_a_restart() {
-    let site = Site::new(0);
-    let mut first: Vec<Process> = (1..=3).map(|host| start(&site, host, true)).collect();
-    for host in 1..=3 {
-        wait_until_member(&site, host).await;
-    }
+    let hosts = Hosts::new(7721);
+    let mut first = hosts.bootstrap().await;
     first[2].kill();
-    let mut replacement = start(&site, 4, false);
-    wait_until_member(&site, 4).await;
-    let mut returned = start(&site, 3, false);
-    let log = site.folder.path().join("core-3.log");
-    wait::until("host 3 requests another member slot", || async {
-        let text = fs::read_to_string(&log).ok()?;
-        text.contains("it requests a new slot when it starts again").then_some(())
-    })
-    .await;
+    let mut replacement = hosts.start(4, false);
+    hosts.wait_until_member(4).await;
+    let mut returned = hosts.start(3, false);
+    hosts.wait_until_slot_lost(3).await;
     replacement.kill();
-    wait_until_member(&site, 3).await;
+    hosts.wait_until_member(3).await;
     assert!(returned.is_running(), "the process ended");
 }
+
+/// Guards against a host that bootstrapped the group and, after the loss of its member slot, starts
+/// as a member of a new group again and again in place of standing by.
+#[tokio::test]
+async fn a_bootstrap_host_stands_by_after_it_has_lost_its_member_slot() {
+    let hosts = Hosts::new(7723);
+    let first = hosts.bootstrap().await;
+    first[2].signal(Signal::SIGSTOP);
+    let _replacement = hosts.start(4, false);
+    hosts.wait_until_member(4).await;
+    first[2].signal(Signal::SIGCONT);
+    hosts.wait_until_slot_lost(3).await;
+    tokio::time::sleep(WATCH_TIME).await;
+    let log = hosts.read_log(3);
+    assert_eq!(log.matches(SLOT_LOST).count(), 1, "{log}");
+    assert!(log.contains("no member slot yet"), "{log}");
+}
