Raft: a learner that starts again with another disk gets its slot at once

What callers saw: a replacement that was killed or lost its disk while it joined waited 3 s longer, until the record of its previous disk expired.

Change: a learner at the address of the joining replica keeps no slot from it, and the replica gets that slot again in place of another one.

--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -184,21 +184,27 @@
     /// Returns whether a replica may run under the number that it asks for.
     fn may_use_slot(&self, now: Timestamp, id: u64, joining: JoiningReplica<'_>) -> bool {
         let exists = self.others().contains(&id);
-        let free = || self.is_free(now, id) || self.is_replaceable(now, id, joining.stands_by);
+        let free = || self.is_free(now, id, joining) || self.is_replaceable(now, id, joining);
         exists && (self.is_assigned(now, id, joining.disk) || free())
     }
 
     fn find_slot(&self, now: Timestamp, joining: JoiningReplica<'_>) -> Option<u64> {
-        let JoiningReplica { address, disk, stands_by, .. } = joining;
+        let JoiningReplica { address, disk, .. } = joining;
         let others = self.others();
         let find = |wanted: &dyn Fn(u64) -> bool| others.iter().copied().find(|id| wanted(*id));
         // Repeated requests of a replica get the same number.
         let assigned = || find(&|id| self.is_assigned(now, id, disk));
         let same_host = || find(&|id| self.logged_address(id) == Some(address));
+        let is_free = |id: u64| self.is_free(now, id, joining);
+        let is_replaceable = |id: u64| self.is_replaceable(now, id, joining);
+        let admitted_before = |id: u64| self.learner_at(now, id).is_some_and(|at| at == address);
+        let same_learner =
+            || find(&|id| admitted_before(id) && (is_free(id) || is_replaceable(id)));
         let suits = |id: u64| self.is_suitable(now, id, joining);
-        let vacant = || find(&|id| self.is_free(now, id) && suits(id));
-        let replaceable = || find(&|id| self.is_replaceable(now, id, stands_by) && suits(id));
-        assigned().or_else(same_host).or_else(vacant).or_else(replaceable)
+        let vacant = || find(&|id| is_free(id) && suits(id));
+        let replaceable = || find(&|id| is_replaceable(id) && suits(id));
+        let known = assigned().or_else(same_host).or_else(same_learner);
+        known.or_else(vacant).or_else(replaceable)
     }
 
     /// Returns the failure domain of a replica, if known.
@@ -223,22 +229,33 @@
 
     /// Returns whether a learner is catching up for a slot.
     pub(super) fn has_learner(&self, now: Timestamp, id: u64) -> bool {
-        let Role::Leader(state) = &self.role else { return false };
-        state.learners.get(&id).is_some_and(|l| l.is_alive(now))
+        self.learner_at(now, id).is_some()
+    }
+
+    /// Returns the address of the learner that is catching up for a slot.
+    fn learner_at(&self, now: Timestamp, id: u64) -> Option<&str> {
+        let Role::Leader(state) = &self.role else { return None };
+        state.learners.get(&id).filter(|l| l.is_alive(now)).map(|l| l.address.as_str())
+    }
+
+    /// Returns whether a learner at another address is catching up for a slot. One at the address of
+    /// a joining replica has started again with another disk.
+    fn has_other_learner(&self, now: Timestamp, id: u64, joining: JoiningReplica<'_>) -> bool {
+        self.learner_at(now, id).is_some_and(|address| address != joining.address)
     }
 
-    /// Returns whether a slot is vacant and has no learner.
-    fn is_free(&self, now: Timestamp, id: u64) -> bool {
-        self.is_vacant(id) && !self.has_learner(now, id)
+    /// Returns whether a slot is vacant and has no other learner.
+    fn is_free(&self, now: Timestamp, id: u64, joining: JoiningReplica<'_>) -> bool {
+        self.is_vacant(id) && !self.has_other_learner(now, id, joining)
     }
 
-    /// Returns whether the holder of a slot has been silent for so long that another replica may
+    /// Returns whether the holder of a slot has been silent for so long that a joining replica may
     /// have it.
-    fn is_replaceable(&self, now: Timestamp, id: u64, stands_by: bool) -> bool {
+    fn is_replaceable(&self, now: Timestamp, id: u64, joining: JoiningReplica<'_>) -> bool {
         let Role::Leader(state) = &self.role else { return false };
-        let timeout = if stands_by { STANDBY_TIMEOUT } else { REPLACEMENT_TIMEOUT };
+        let timeout = if joining.stands_by { STANDBY_TIMEOUT } else { REPLACEMENT_TIMEOUT };
         let is_silent = |p: &Progress| p.silence(now) >= timeout;
-        !self.has_learner(now, id) && state.progress.get(&id).is_some_and(is_silent)
+        !self.has_other_learner(now, id, joining) && state.progress.get(&id).is_some_and(is_silent)
     }
 
     /// Returns the addresses and failure domains of all replicas; empty where addresses are fixed.
