Raft: a former replacement that is lost is replaced as soon as any other member

What callers saw: the replacement of a host that was itself a replacement got its slot after 3 s, not 1.5 s.

Change: a learner whose disk votes is a member like any other.

Evidence: a_replacement_that_is_lost_itself_is_replaced_as_soon_as_any_other failed before (no slot 1.6 s after the loss) and passes.

--- a/crates/cherrystream-core/src/raft/joining.rs
+++ b/crates/cherrystream-core/src/raft/joining.rs
@@ -232,10 +232,12 @@
         self.learner_at(now, id).is_some()
     }
 
-    /// Returns the address of the learner that is catching up for a slot.
+    /// Returns the address of the learner that is catching up for a slot. Once its disk votes, it is
+    /// a member like any other.
     fn learner_at(&self, now: Timestamp, id: u64) -> Option<&str> {
         let Role::Leader(state) = &self.role else { return None };
-        state.learners.get(&id).filter(|l| l.is_alive(now)).map(|l| l.address.as_str())
+        let catches_up = |l: &&Learner| l.is_alive(now) && !self.is_member(id, &l.disk);
+        state.learners.get(&id).filter(catches_up).map(|l| l.address.as_str())
     }
 
     /// Returns whether a learner at another address is catching up for a slot. One at the address of
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -260,6 +260,24 @@
     assert_eq!(request_again(&mut cluster, &blank.id, id), JoinDecision::Granted(id));
 }
 
+/// Guards against the loss of a former replacement that keeps its slot from the next one for as long
+/// as its admission would.
+#[test]
+fn a_replacement_that_is_lost_itself_is_replaced_as_soon_as_any_other() {
+    let (mut cluster, gone, disk) = with_lost_replica();
+    run(&mut cluster, 40);
+    let id = gone as u64 + 1;
+    assert_eq!(admit(&mut cluster, &disk), Some(id));
+    cluster.replicas[gone].disk = disk;
+    cluster.start(gone);
+    run(&mut cluster, 20);
+    assert!(cluster.replicas[gone].raft.as_ref().unwrap().is_voter());
+    cluster.replicas[gone].raft = None;
+    run(&mut cluster, 32);
+    let next = cluster.new_disk();
+    assert_eq!(request_slot_at(&mut cluster, OTHER_ADDRESS, &next, false), Some(id));
+}
+
 /// Guards against a grant that outlives its learner: a holder that has returned keeps its slot.
 #[test]
 fn a_learner_that_was_silent_for_long_gets_no_slot_whose_holder_has_returned() {
