--- a/crates/cherrystream-control/src/driver.rs
+++ b/crates/cherrystream-control/src/driver.rs
@@ -70,6 +70,8 @@
     slow_reads_logged_at: Timestamp,
     leadership_transfer: Option<(Instant, oneshot::Sender<()>)>,
     was_leader: bool,
+    /// Whether the next loss of a voter would end the quorum.
+    is_at_risk: bool,
     /// Snapshot that another thread is creating.
     pub(crate) pending_snapshot: Option<Receiver<Result<FinishedSnapshot>>>,
     /// Replicas that need a snapshot.
@@ -154,6 +156,7 @@
         slow_reads_logged_at: Timestamp::default(),
         leadership_transfer: None,
         was_leader: false,
+        is_at_risk: false,
         pending_snapshot: None,
         need_snapshot: Vec::new(),
         deferred_compactions: 0,
@@ -365,6 +368,7 @@
             log::info!("control: replica {} {change} in term {}", self.raft.id(), status.term);
         }
         self.was_leader = status.leads;
+        self.publish_voters(status.leads);
         self.publish_group();
         self.finish_leadership_transfer(status.leads);
         self.metrics.term.set(status.term as i64);
@@ -383,6 +387,28 @@
         });
     }
 
+    /// Publishes how many voters the leader is in contact with. Logs when the next loss would end the
+    /// quorum, and when it no longer would.
+    fn publish_voters(&mut self, leads: bool) {
+        let (voters, quorum) = match leads {
+            true => (self.raft.voters_in_contact(self.clock.now()), self.raft.quorum()),
+            false => (0, 0),
+        };
+        self.metrics.voters_in_contact.set(voters as i64);
+        self.metrics.quorum.set(quorum as i64);
+        let is_at_risk = leads && voters <= quorum && self.raft.slots() > quorum;
+        if std::mem::replace(&mut self.is_at_risk, is_at_risk) == is_at_risk || !leads {
+            return;
+        }
+        match is_at_risk {
+            true => log::warn!(
+                "control: {voters} of {quorum} needed voters are in contact; the loss of another \
+                 one ends the quorum, so replace the lost hosts"
+            ),
+            false => log::info!("control: {voters} voters are in contact, {quorum} are needed"),
+        }
+    }
+
     /// Logs the state of the replication while reads wait for long.
     fn log_slow_reads(&mut self) {
         let now = self.clock.now();
--- a/crates/cherrystream-control/src/metrics.rs
+++ b/crates/cherrystream-control/src/metrics.rs
@@ -47,6 +47,10 @@
     pub commit: Gauge,
     /// 1 on the leader, 0 on the other replicas.
     pub leads: Gauge,
+    /// Voting members that a decision needs; 0 unless this replica leads.
+    pub quorum: Gauge,
+    /// Voting members in contact with this replica, itself included; 0 unless it leads.
+    pub voters_in_contact: Gauge,
     /// The leader that this replica follows; 0 if none is known.
     pub leader: Gauge,
     /// Changes of the leader that this replica follows.
@@ -79,6 +83,12 @@
         registry.register("term", "Term of the replicated log", self.term.clone());
         registry.register("commit", "Commit index of the replicated log", self.commit.clone());
         registry.register("leads", "1 on the leader", self.leads.clone());
+        registry.register("quorum", "Voters needed, on the leader", self.quorum.clone());
+        registry.register(
+            "voters_in_contact",
+            "Voters in contact with the leader, itself included, on the leader",
+            self.voters_in_contact.clone(),
+        );
         registry.register("leader", "Leader that is followed; 0 if unknown", self.leader.clone());
         registry.register(
             "leader_changes",
--- a/crates/cherrystream-core/src/raft/leader.rs
+++ b/crates/cherrystream-core/src/raft/leader.rs
@@ -188,15 +188,19 @@
         }
     }
 
-    fn has_quorum_contact(&self, now: Timestamp) -> bool {
-        let Role::Leader(state) = &self.role else { return false };
+    /// Returns the number of voting members that this leader is in contact with, itself included; 0
+    /// if this replica is not the leader. One that has not replied yet counts for the first period.
+    pub fn voters_in_contact(&self, now: Timestamp) -> usize {
+        let Role::Leader(state) = &self.role else { return 0 };
         let is_recent = |p: &Progress| now.since(p.last_seen) < self.opts.election * 2;
-        // A replica that has not replied yet counts as in contact for the first period.
-        let in_contact = |(id, p): (&u64, &Progress)| {
-            is_recent(p) && (p.disk.is_none() || self.is_voting(*id, p))
+        let in_contact = |(id, p): &(&u64, &Progress)| {
+            is_recent(p) && (p.disk.is_none() || self.is_voting(**id, p))
         };
-        let others = state.progress.iter().filter(|(id, p)| in_contact((id, p))).count();
-        others + usize::from(self.is_voter()) >= self.quorum()
+        state.progress.iter().filter(in_contact).count() + usize::from(self.is_voter())
+    }
+
+    fn has_quorum_contact(&self, now: Timestamp) -> bool {
+        self.voters_in_contact(now) >= self.quorum()
     }
 
     pub(super) fn is_voting(&self, id: u64, progress: &Progress) -> bool {
--- a/crates/cherrystream-core/src/raft/mod.rs
+++ b/crates/cherrystream-core/src/raft/mod.rs
@@ -247,7 +247,13 @@
         self.log.last().index == 0
     }
 
-    fn quorum(&self) -> usize {
+    /// Returns the number of member slots.
+    pub fn slots(&self) -> usize {
+        self.opts.replicas.len()
+    }
+
+    /// Returns the number of voting members that a decision needs.
+    pub fn quorum(&self) -> usize {
         self.opts.replicas.len() / 2 + 1
     }
 
--- a/crates/cherrystream-core/tests/raft_joining/mod.rs
+++ b/crates/cherrystream-core/tests/raft_joining/mod.rs
@@ -170,6 +170,23 @@
     assert_eq!(request_again(&mut cluster, &old, id), JoinDecision::Granted(id));
 }
 
+/// Guards against a lost member that operators do not see, since the group still decides.
+#[test]
+fn a_leader_counts_only_voters_that_it_is_in_contact_with() {
+    let (mut cluster, gone, disk) = with_lost_replica();
+    run(&mut cluster, 50);
+    let voters = |cluster: &Cluster| {
+        let raft = cluster.replicas[leader(cluster)].raft.as_ref().unwrap();
+        (raft.voters_in_contact(cluster.now), raft.quorum(), raft.slots())
+    };
+    assert_eq!(voters(&cluster), (2, 2, 3));
+    assert!(admit(&mut cluster, &disk).is_some());
+    cluster.replicas[gone].disk = disk;
+    cluster.start(gone);
+    run(&mut cluster, 20);
+    assert_eq!(voters(&cluster), (3, 2, 3));
+}
+
 /// Guards against a leader that stops and hands over to a lost replica, so that the group has no
 /// leader until an election.
 #[test]
--- a/crates/cherrystream/tests/processes/places.rs
+++ b/crates/cherrystream/tests/processes/places.rs
@@ -13,6 +13,11 @@
 /// Time for which a host that has lost its member slot is watched.
 const WATCH_TIME: Duration = Duration::from_secs(3);
 
+/// Time that a replacement has until it votes.
+const VOTE_TIMEOUT: Duration = Duration::from_secs(7);
+/// Silence of a lost host until its replacement starts.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
+
 /// Control hosts that find their group by the seeds 1 to 3.
 struct Hosts {
     site: Site,
@@ -72,6 +77,11 @@
         .await;
     }
 
+    /// Returns the bootstrap host that became leader.
+    fn leader(&self) -> u8 {
+        (1..=3).find(|host| self.read_log(*host).contains("became leader")).expect("no leader")
+    }
+
     fn read_log(&self, host: u8) -> String {
         fs::read_to_string(self.site.folder.path().join(format!("core-{host}.log"))).unwrap()
     }
@@ -110,3 +120,22 @@
     assert_eq!(log.matches(SLOT_LOST).count(), 1, "{log}");
     assert!(log.contains("no member slot yet"), "{log}");
 }
+
+/// Guards against a replacement that is told again and again that its slot is lost to the host that
+/// it replaces, so that the next loss ends the quorum.
+#[tokio::test]
+async fn the_group_has_a_quorum_when_another_host_is_lost_after_a_replacement() {
+    let hosts = Hosts::new(7725);
+    let mut first = hosts.bootstrap().await;
+    let leader = hosts.leader();
+    let mut followers = (1..=3).rev().filter(|host| *host != leader);
+    let [gone, next] = [followers.next().unwrap(), followers.next().unwrap()];
+    // Connections to a suspended host hang, as those to a host without power.
+    first[usize::from(gone) - 1].signal(Signal::SIGSTOP);
+    tokio::time::sleep(REPLACEMENT_DELAY).await;
+    let _replacement = hosts.start(4, false);
+    tokio::time::sleep(VOTE_TIMEOUT).await;
+    first[usize::from(next) - 1].kill();
+    hosts.wait_until_member(4).await;
+    assert!(!hosts.read_log(4).contains(SLOT_LOST));
+}
