--- a/crates/cherrystream/tests/processes/places.rs
+++ b/crates/cherrystream/tests/processes/places.rs
@@ -5,8 +5,12 @@
 use super::support::site::Site;
 use super::support::wait;
 use nix::sys::signal::Signal;
-use std::fs;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
 use std::time::Duration;
+use std::{env, fs};
 
 /// Logged by a host that has lost its member slot.
 const SLOT_LOST: &str = "it requests a new slot when it starts again";
@@ -15,6 +19,12 @@
 
 /// Time that a replacement has until it votes.
 const VOTE_TIMEOUT: Duration = Duration::from_secs(7);
+/// Longest time from the loss of a host until its replacement starts, in milliseconds.
+const MAX_REPLACEMENT_DELAY_MS: u64 = 2_500;
+/// Signals with which hosts are lost: without a word, with closed connections, and by plan.
+const LOSSES: [Signal; 3] = [Signal::SIGSTOP, Signal::SIGKILL, Signal::SIGTERM];
+/// Seeds of the drawn replacements, unless `REPLACEMENT_SEEDS` is set.
+const DEFAULT_SEEDS: u64 = 1;
 /// Silence of a lost host until its replacement starts.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
 
@@ -139,3 +149,42 @@
     hosts.wait_until_member(4).await;
     assert!(!hosts.read_log(4).contains(SLOT_LOST));
 }
+
+/// Replaces two hosts in turn, each lost in a drawn way, and loses a third one.
+async fn replace_two_hosts(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let hosts = Hosts::new(7727);
+    let mut members: BTreeMap<u8, Process> = (1..).zip(hosts.bootstrap().await).collect();
+    let mut lost = Vec::new();
+    for replacement in [4, 5] {
+        let gone = *members.keys().collect::<Vec<_>>().choose(&mut rng).copied().unwrap();
+        let loss = *LOSSES.choose(&mut rng).unwrap();
+        let delay = Duration::from_millis(rng.random_range(0..=MAX_REPLACEMENT_DELAY_MS));
+        println!("seed {seed}: host {gone} gets {loss}, host {replacement} starts after {delay:?}");
+        let process = members.remove(&gone).unwrap();
+        process.signal(loss);
+        lost.push(process);
+        tokio::time::sleep(delay).await;
+        members.insert(replacement, hosts.start(replacement, false));
+        tokio::time::sleep(VOTE_TIMEOUT).await;
+        for host in members.keys() {
+            hosts.wait_until_member(*host).await;
+        }
+    }
+    let gone = *members.keys().collect::<Vec<_>>().choose(&mut rng).copied().unwrap();
+    println!("seed {seed}: host {gone} is lost");
+    members.remove(&gone).unwrap().kill();
+    for host in members.keys() {
+        hosts.wait_until_member(*host).await;
+    }
+}
+
+/// Guards against replacements that have no vote by the time of the next loss, whichever host is
+/// lost and in whatever way. `REPLACEMENT_SEEDS=N` runs N seeds.
+#[tokio::test]
+async fn the_group_has_a_quorum_after_each_of_several_replacements() {
+    let seeds = env::var("REPLACEMENT_SEEDS").ok().and_then(|n| n.parse().ok());
+    for seed in 0..seeds.unwrap_or(DEFAULT_SEEDS) {
+        replace_two_hosts(seed).await;
+    }
+}
