Replacements: two changes of leader are drawn again

The schedules had been narrowed to one change of leader while a replacement joins after schedule 340 of 1,000 (group of five) voted later than 7 s: a lost leader, then a transfer, each new leader waiting 1.5 s before it replaces a silent member, and connections that open 1.2 and 1.5 s late.

Evidence: the 30 schedules of each of the four properties pass. Not run: 1,000 schedules on this draw.

--- a/crates/cherrystream-core/tests/raft_replacements/hosts.rs
+++ b/crates/cherrystream-core/tests/raft_replacements/hosts.rs
@@ -196,7 +196,7 @@
     }
 
     /// Returns the running leader of the highest term.
-    pub fn leader(&self) -> Option<usize> {
+    fn leader(&self) -> Option<usize> {
         let leads = |i: &usize| self.raft(*i).is_some_and(Raft::is_leader);
         let term = |i: &usize| self.raft(*i).map(Raft::term);
         (0..self.hosts.len()).filter(leads).max_by_key(term)
--- a/crates/cherrystream-core/tests/raft_replacements/mod.rs
+++ b/crates/cherrystream-core/tests/raft_replacements/mod.rs
@@ -58,7 +58,6 @@
 /// votes in time.
 fn replace(hosts: &mut Hosts, u: &mut Unstructured, tolerated: usize) -> ArbResult<()> {
     run_with_transfer(hosts, u, 2_000)?;
-    let first_leader = hosts.leader();
     let mut replacements = Vec::new();
     for _ in 0..u.int_in_range(1..=tolerated)? {
         let voters = hosts.voters().into_iter();
@@ -66,10 +65,7 @@
         let gone = *u.choose(&members)?;
         replacements.push(replace_one(hosts, u, gone)?);
     }
-    // The leader changes at most once while a replacement joins.
-    if hosts.leader() == first_leader {
-        run_with_transfer(hosts, u, 3_000)?;
-    }
+    run_with_transfer(hosts, u, 3_000)?;
     for i in replacements {
         // The next loss is tolerated only after this time.
         hosts.run(VOTE_TIMEOUT.saturating_sub(hosts.age(i)));
