Control: one log line and a counter for each operator command, also if its caller left

What callers saw: nothing changes for them. What operators could not see: an order whose caller had left was carried out by the batch and left no line, because the line stood behind the await of the handler.

Change: a trace logs each command when it is dropped, with its outcome (committed, refused, unknown, abandoned), its client, how long it waited and the revision that the replica held when it read it; a counter has the outcomes. Daemons log the evacuated failure domains and the revision when they change.

--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bootstrap_marker;
 pub mod call_batcher;
 pub mod call_trace;
+pub mod command_trace;
 pub mod contacts;
 pub mod daemon_registry;
 pub mod distribution;
--- a/crates/cherrystream-control/src/metrics.rs
+++ b/crates/cherrystream-control/src/metrics.rs
@@ -25,6 +25,13 @@
     pub end: &'static str,
 }
 
+/// Label of a command of an operator.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CommandLabel {
+    /// How it ended, such as `committed`, or `abandoned` if its caller has left.
+    pub outcome: &'static str,
+}
+
 /// Label with the decision on a join request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct JoinLabel {
@@ -57,6 +64,8 @@
     pub leader_changes: Counter,
     /// Calls through the leader that failed.
     pub failed_calls: Family<FailedCallLabel, Counter>,
+    /// Commands of operators that this replica received.
+    pub commands: Family<CommandLabel, Counter>,
     /// Decisions of this replica on join requests, as the leader.
     pub joins: Family<JoinLabel, Counter>,
     /// Connections to the other replicas.
@@ -100,6 +109,7 @@
             "Calls through the leader that failed, by the step that they had reached",
             self.failed_calls.clone(),
         );
+        registry.register("commands", "Commands of operators, by outcome", self.commands.clone());
         registry.register("joins", "Decisions on join requests", self.joins.clone());
         self.connections.register(registry.sub_registry_with_prefix("replica"));
         registry.register("syncs", "Writes made durable", self.syncs.clone());
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Api, Operator};
 use crate::call_trace::CallTraces;
+use crate::command_trace::CommandTraces;
 use crate::daemon_registry::DaemonRegistry;
 use crate::distribution::Distribution;
 use crate::driver;
@@ -140,6 +141,7 @@
         let orders = cx.orders.map(|interface| OperatorCommands {
             operators: operators.clone(),
             registrar,
+            traces: CommandTraces::new(cx.metrics.clone()),
             interface,
             metrics: cx.metrics.clone(),
         });
--- a/crates/cherrystream-daemon/src/sync/mod.rs
+++ b/crates/cherrystream-daemon/src/sync/mod.rs
@@ -384,13 +384,22 @@
     fn apply(&self, update: Update, from: &'static str) {
         let revision = update.revision;
         let (changes, whole) = (update.changes.len(), update.full.is_some());
+        let evacuated = self.evacuated_domains();
         if self.current_config.apply(update) {
             let shown = DisplayRevision(revision);
+            let now_evacuated = self.evacuated_domains();
+            if now_evacuated != evacuated {
+                log::info!("sync: evacuated failure domains are {now_evacuated:?} at {shown}");
+            }
             log::info!("sync: revision {shown} from {from}: {changes} changes, whole: {whole}");
             self.metrics.updates.get_or_create(&ReasonLabel { reason: from }).inc();
         }
     }
 
+    fn evacuated_domains(&self) -> Vec<String> {
+        self.current_config.get().shared.config.failure_domains_out.clone()
+    }
+
     /// Publishes each new revision in the metrics and updates readiness.
     pub async fn publish_revisions(self: Arc<Self>, mut revisions: watch::Receiver<Revision>) {
         while revisions.changed().await.is_ok() {
--- a/crates/cherrystream-net/src/serve.rs
+++ b/crates/cherrystream-net/src/serve.rs
@@ -9,6 +9,7 @@
 use hyper_util::server::conn::auto;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -32,6 +33,10 @@
 /// Maximum number of concurrent streams per HTTP/2 connection.
 const MAX_STREAMS: u32 = 10_000;
 
+/// Address of the client of a connection, an extension of its requests.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientAddress(pub SocketAddr);
+
 /// Phases of the life cycle of a process, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -163,7 +168,11 @@
     if !wait_for_first_byte(&stream, &phases).await {
         return;
     }
-    let service = hyper::service::service_fn(move |req| {
+    let client = stream.peer_addr().ok().map(ClientAddress);
+    let service = hyper::service::service_fn(move |mut req: Request<Incoming>| {
+        if let Some(client) = client {
+            req.extensions_mut().insert(client);
+        }
         let answer = handler(req);
         async move { Ok::<_, Infallible>(answer.await) }
     });
