--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod ending;
 mod half_open;
+mod late_commands;
 mod leaving;
 mod limits;
 mod once;
--- a/crates/cherrystream/tests/processes/support/wait.rs
+++ b/crates/cherrystream/tests/processes/support/wait.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 /// Time limit for a condition, with a margin for busy machines.
-const TIMEOUT: Duration = Duration::from_secs(40);
+pub const TIMEOUT: Duration = Duration::from_secs(40);
 /// Interval between polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
