--- a/crates/cherrystream-control/src/api.rs
+++ b/crates/cherrystream-control/src/api.rs
@@ -111,7 +111,7 @@
         return Err(operators::error(400, "the body is not UTF-8", "send JSON"));
     };
     let (method, path) = (parts.method.to_string(), parts.uri.path().to_string());
-    Ok(OperatorCall { operator, method, path, body, request_key })
+    Ok(OperatorCall { operator, method, path, body, request_key, base: None })
 }
 
 fn response(answer: OperatorAnswer) -> Response<Body> {
--- a/crates/cherrystream-control/src/command_trace.rs
+++ b/crates/cherrystream-control/src/command_trace.rs
@@ -16,6 +16,10 @@
 pub enum Outcome {
     /// It is in force.
     Committed,
+    /// A newer command was accepted first.
+    Superseded,
+    /// It may have been sent long before it was read.
+    Stale,
     /// It is invalid in the current state.
     Refused,
     /// It may be in force or not.
@@ -28,6 +32,8 @@
     fn as_str(self) -> &'static str {
         match self {
             Outcome::Committed => "committed",
+            Outcome::Superseded => "superseded",
+            Outcome::Stale => "stale",
             Outcome::Refused => "refused",
             Outcome::Unknown => "unknown",
             Outcome::Abandoned => "abandoned",
@@ -49,14 +55,15 @@
         CommandTraces { metrics, ..CommandTraces::default() }
     }
 
-    /// Starts the trace of a command that was read while this replica held the revision `held`.
-    pub fn start(&self, what: String, from: Option<SocketAddr>, held: Revision) -> CommandTrace {
+    /// Starts the trace of a command.
+    pub fn start(&self, what: String, from: Option<SocketAddr>) -> CommandTrace {
         CommandTrace {
             traces: self.clone(),
             what,
             from,
             received: self.clock.now(),
-            held,
+            base: None,
+            committed: None,
             outcome: Outcome::Abandoned,
         }
     }
@@ -67,12 +74,13 @@
         let now = self.clock.now();
         let Some(dropped) = self.budget.lock().take(now, true) else { return };
         log::info!(
-            "orders: command={:?} outcome={outcome} from={} waited_ms={} revision_read={} \
+            "orders: command={:?} outcome={outcome} from={} waited_ms={} base={} revision={} \
              dropped_lines={dropped}",
             trace.what,
             trace.from.map_or_else(|| NONE.into(), |from| from.to_string()),
             now.since(trace.received).as_millis(),
-            DisplayRevision(trace.held),
+            show(trace.base),
+            show(trace.committed),
         );
     }
 }
@@ -83,12 +91,24 @@
     what: String,
     from: Option<SocketAddr>,
     received: Timestamp,
-    held: Revision,
+    base: Option<Revision>,
+    committed: Option<Revision>,
     outcome: Outcome,
 }
 
 impl CommandTrace {
-    /// Records the end of the command.
+    /// Records the base with which the command is proposed.
+    pub fn set_base(&mut self, base: Revision) {
+        self.base = Some(base);
+    }
+
+    /// Records the revision at which the command was committed, and its end.
+    pub fn commit(mut self, revision: Revision) {
+        self.committed = Some(revision);
+        self.outcome = Outcome::Committed;
+    }
+
+    /// Records the end of a command that is not known to be committed.
     pub fn finish(mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
@@ -99,3 +119,7 @@
         self.traces.record(self);
     }
 }
+
+fn show(revision: Option<Revision>) -> String {
+    revision.map_or_else(|| NONE.into(), |revision| DisplayRevision(revision).to_string())
+}
--- a/crates/cherrystream-control/src/handle.rs
+++ b/crates/cherrystream-control/src/handle.rs
@@ -102,16 +102,6 @@
         wait(rx).await
     }
 
-    /// Waits until everything proposed to this leader before the call is applied. Unlike
-    /// [`Handle::read`], this includes proposals that are not committed yet.
-    ///
-    /// # Errors
-    ///
-    /// Fails if this replica is not the leader or the outcome is unknown.
-    pub async fn barrier(&self) -> Result<(), NoResult> {
-        self.propose(Command::ShareAll { changes: Vec::new() }).await.map(|_| ())
-    }
-
     /// Decides on a request for a member slot, on the leader.
     ///
     /// # Errors
--- a/crates/cherrystream-control/src/lib.rs
+++ b/crates/cherrystream-control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod handle;
 pub mod incoming_transfers;
 mod join_log;
+pub mod leader_client;
 pub mod member_slot;
 pub mod metrics;
 pub mod operators;
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -3,17 +3,18 @@
 use crate::call_trace::{CallKind, CallTrace, CallTraces, Step};
 use crate::daemon_registry::{self, DaemonRegistry};
 use crate::handle::{Handle, NoResult};
+use crate::leader_client::LeaderClient;
 use crate::peers::{CallError, ReplicaConnection};
 use cherrystream_core::errors::Error;
 use cherrystream_core::plan;
-use cherrystream_core::rollout;
 use cherrystream_core::shared;
 use cherrystream_core::state::Applied;
-use cherrystream_core::units::DisplayRevision;
+use cherrystream_core::units::{DisplayRevision, Revision};
 use cherrystream_core::workspaces;
 use cherrystream_net::clock;
 use cherrystream_net::interface::CommandOutcome;
 use cherrystream_net::rpc::{Client, ControlRpcClient};
+use cherrystream_net::suspensions::Suspensions;
 use cherrystream_schema::messages;
 use jsonrpsee::core::client::Error as ClientError;
 use messages::{
@@ -37,6 +38,10 @@
 /// Time without a message after which a control replica is considered unreachable.
 const REPLICA_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Age up to which a command that a newer one superseded is proposed again. A caller that waits
+/// longer may have sent it to another replica, and a newer one after it.
+pub(crate) const MAX_REPEAT_AGE: Duration = Duration::from_millis(500);
+
 /// Handles operator calls.
 #[derive(Clone)]
 pub struct Operators {
@@ -48,17 +53,42 @@
     pub reach: Arc<DaemonRegistry>,
     /// Held while a plan is confirmed, exclusively while one is rebased.
     pub confirmations: Arc<tokio::sync::RwLock<()>>,
+    /// Sends commands to the leader.
+    pub leader: LeaderClient,
     /// Records calls that fail.
     pub traces: CallTraces,
+    /// Suspensions of this process, during which calls may have arrived.
+    pub suspensions: Suspensions,
 }
 
 impl Operators {
+    /// Handles a call of an operator.
+    pub async fn answer(&self, mut call: OperatorCall) -> OperatorAnswer {
+        if !is_confirmation(&call) {
+            return self.answer_at_leader(&call).await;
+        }
+        let receipt = self.suspensions.receive();
+        loop {
+            call.base = match self.leader.command_base().await {
+                Ok(base) => Some(base),
+                Err(e) => return no_result(e),
+            };
+            if receipt.may_be_old() {
+                return unknown_outcome();
+            }
+            let answer = self.answer_at_leader(&call).await;
+            if !answer.superseded || receipt.age() > MAX_REPEAT_AGE {
+                return answer;
+            }
+        }
+    }
+
     /// Handles a call on the leader; forwards it if another replica leads.
-    pub async fn answer(&self, call: OperatorCall) -> OperatorAnswer {
+    async fn answer_at_leader(&self, call: &OperatorCall) -> OperatorAnswer {
         let status = *self.handle.status.borrow();
         let mut trace = self.traces.start(CallKind::Operator);
         if status.leads {
-            let answer = self.answer_here(&call).await;
+            let answer = self.answer_here(call).await;
             trace.finish(answer.status != NO_RESULT_STATUS);
             return answer;
         }
@@ -85,7 +115,7 @@
         match (call.method.as_str(), path.as_slice()) {
             ("POST", ["v1", "intents"]) => self.intent(call).await,
             ("GET", ["v1", "plans", id]) => self.plan(id).await,
-            ("POST", ["v1", "plans", id, "confirm"]) => self.confirm(id).await,
+            ("POST", ["v1", "plans", id, "confirm"]) => self.confirm(id, call.base).await,
             ("GET", ["v1", "config"]) => self.config().await,
             ("GET", ["v1", "status"]) => self.status().await,
             _ => error(
@@ -119,15 +149,6 @@
         }
     }
 
-    /// Validates an intent against the state applied on this replica.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the intent refers to something that does not exist or contains an invalid value.
-    pub fn check(&self, intent: &Intent) -> Result<(), Error> {
-        rollout::plan::check(self.handle.state.read().shared(), intent)
-    }
-
     /// Waits until this replica has applied every change accepted before the call.
     ///
     /// # Errors
@@ -198,8 +219,10 @@
             Ok(plan) => plan,
             Err(_) => {
                 // A change whose outcome its operator does not know may be proposed but not
-                // committed. The answer that there is nothing to change must hold after it.
-                if let Err(e) = self.handle.barrier().await {
+                // committed, or its confirmation may still be on its way. The answer that there is
+                // nothing to change must hold after it.
+                let note = Command::NoteRefusal { intent: intent.clone() };
+                if let Err(e) = self.handle.propose(note).await {
                     return no_result(e);
                 }
                 match self.outline(call, &intent) {
@@ -251,9 +274,9 @@
         }
     }
 
-    async fn confirm(&self, id: &str) -> OperatorAnswer {
+    async fn confirm(&self, id: &str, base: Option<Revision>) -> OperatorAnswer {
         let at_ms = clock::unix_ms();
-        let command = Command::Confirm { plan: id.into(), at_ms };
+        let command = Command::Confirm { plan: id.into(), at_ms, base };
         let first = {
             let _shared = self.confirmations.read().await;
             self.handle.propose(command.clone()).await
@@ -454,7 +477,7 @@
 
 fn json(status: u16, reply: &impl Serialize) -> OperatorAnswer {
     let body = serde_json::to_string(reply).expect("a reply always has a JSON form");
-    OperatorAnswer { status, body }
+    OperatorAnswer { status, body, superseded: false }
 }
 
 /// Returns an error answer with a remedy.
@@ -463,7 +486,12 @@
 }
 
 fn core_error(e: &Error) -> OperatorAnswer {
-    error(e.status(), &e.to_string(), &e.remedy())
+    let answer = error(e.status(), &e.to_string(), &e.remedy());
+    OperatorAnswer { superseded: matches!(e, Error::Superseded { .. }), ..answer }
+}
+
+fn is_confirmation(call: &OperatorCall) -> bool {
+    call.method == "POST" && call.path.ends_with("/confirm")
 }
 
 /// Status of an answer without a result.
--- a/crates/cherrystream-control/src/orders.rs
+++ b/crates/cherrystream-control/src/orders.rs
@@ -1,11 +1,9 @@
 //! Operator commands that arrive in the format of a configured interface: replacing the route
 //! table, intents and roll-outs.
 
-use crate::command_trace::{CommandTrace, CommandTraces, Outcome};
+use crate::command_trace::{CommandTraces, Outcome};
 use crate::metrics::Metrics;
-use crate::operators::Operators;
-use crate::registrar::Registrar;
-use cherrystream_core::errors::Error;
+use crate::operators::{MAX_REPEAT_AGE, Operators};
 use cherrystream_core::plan;
 use cherrystream_core::routes;
 use cherrystream_net::body::{self, Body, Start};
@@ -14,7 +12,8 @@
     CommandOutcome, Fault, OperatorCommand, OperatorInterface, RolloutStart,
 };
 use cherrystream_net::serve::ClientAddress;
-use cherrystream_schema::messages::{Change, Intent};
+use cherrystream_net::suspensions::Receipt;
+use cherrystream_schema::messages::{Intent, IntentReply};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::net::SocketAddr;
@@ -23,13 +22,17 @@
 /// Maximum size of the body of a command.
 const MAX_COMMAND_BYTES: usize = 16 * 1024 * 1024;
 
+/// What is known about a command besides its content.
+struct CommandContext {
+    receipt: Receipt,
+    from: Option<SocketAddr>,
+}
+
 /// Executes operator commands.
 #[derive(Clone)]
 pub struct OperatorCommands {
-    /// Forwards route tables and reads to the leader.
+    /// Forwards commands and reads to the leader.
     pub operators: Operators,
-    /// Commits intents through the leader.
-    pub registrar: Registrar,
     /// Records the commands that change something.
     pub traces: CommandTraces,
     /// Decodes commands and encodes their results.
@@ -42,10 +45,13 @@
     /// Executes the command in a request and returns the response.
     pub async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let (head, incoming) = req.into_parts();
-        let from = head.extensions.get().map(|ClientAddress(address)| *address);
+        let cx = CommandContext {
+            receipt: self.operators.suspensions.receive(),
+            from: head.extensions.get().map(|ClientAddress(address)| *address),
+        };
         let outcome = match body::read_request(incoming, MAX_COMMAND_BYTES).await {
             Ok(Start::Whole(bytes)) => match self.interface.read_command(&head, &bytes) {
-                Ok(command) => self.execute(command, from).await,
+                Ok(command) => self.execute(command, cx).await,
                 Err(fault) => CommandOutcome::Invalid(fault),
             },
             Ok(Start::Longer(_)) => CommandOutcome::Invalid(Fault {
@@ -61,14 +67,11 @@
         self.interface.write_outcome(&outcome)
     }
 
-    async fn execute(&self, command: OperatorCommand, from: Option<SocketAddr>) -> CommandOutcome {
+    async fn execute(&self, command: OperatorCommand, cx: CommandContext) -> CommandOutcome {
         match command {
             OperatorCommand::ReadRoutes => self.operators.read_routes().await,
-            OperatorCommand::ApplyIntent(intent) => {
-                let trace = self.start_trace(&intent, from);
-                self.apply_intent(intent, trace).await
-            }
-            OperatorCommand::StartRollout(start) => self.start_rollout(start, from).await,
+            OperatorCommand::ApplyIntent(intent) => self.apply_intent(intent, cx).await,
+            OperatorCommand::StartRollout(start) => self.start_rollout(start, cx).await,
             OperatorCommand::ReadRollout(service) => self.operators.read_rollout(&service).await,
             OperatorCommand::ReplaceRoutes(order) => match routes::validate(&order.table) {
                 Ok(()) => self.operators.replace_routes(&order).await,
@@ -78,47 +81,52 @@
     }
 
     /// Applies an intent. Returns once it is committed to the replicated log.
-    async fn apply_intent(&self, intent: Intent, trace: CommandTrace) -> CommandOutcome {
-        let what = plan::describe(&intent);
-        match self.registrar.register(vec![Change::Operator { intent }]).await {
-            Ok(()) => {
-                trace.finish(Outcome::Committed);
-                CommandOutcome::Committed
-            }
-            Err(e) => {
+    async fn apply_intent(&self, intent: Intent, cx: CommandContext) -> CommandOutcome {
+        let CommandContext { receipt, from } = cx;
+        let mut trace = self.traces.start(plan::describe(&intent), from);
+        loop {
+            let Ok(base) = self.operators.leader.command_base().await else {
                 trace.finish(Outcome::Unknown);
-                log::warn!("orders: the outcome of {what} is unknown: {}", e.message());
-                CommandOutcome::Unavailable
+                return CommandOutcome::Unavailable;
+            };
+            trace.set_base(base);
+            if receipt.may_be_old() {
+                trace.finish(Outcome::Stale);
+                return CommandOutcome::Unavailable;
+            }
+            match self.operators.leader.apply_intent(&intent, base).await {
+                Ok(IntentReply::Committed { revision }) => {
+                    trace.commit(revision);
+                    return CommandOutcome::Committed;
+                }
+                Ok(IntentReply::Superseded) if receipt.age() < MAX_REPEAT_AGE => {}
+                Ok(IntentReply::Superseded) => {
+                    trace.finish(Outcome::Superseded);
+                    return CommandOutcome::Unavailable;
+                }
+                Ok(IntentReply::Refused { busy, error, remedy }) => {
+                    trace.finish(Outcome::Refused);
+                    let fault = Fault { what: error, remedy };
+                    return match busy {
+                        true => CommandOutcome::Busy(fault),
+                        false => CommandOutcome::Invalid(fault),
+                    };
+                }
+                Err(e) => {
+                    log::debug!("orders: no outcome: {}", e.message());
+                    trace.finish(Outcome::Unknown);
+                    return CommandOutcome::Unavailable;
+                }
             }
         }
     }
 
-    fn start_trace(&self, intent: &Intent, from: Option<SocketAddr>) -> CommandTrace {
-        let held = self.operators.handle.state.read().revision();
-        self.traces.start(plan::describe(intent), from, held)
-    }
-
     /// Starts a roll-out, unless the current state forbids it.
-    async fn start_rollout(&self, start: RolloutStart, from: Option<SocketAddr>) -> CommandOutcome {
+    async fn start_rollout(&self, start: RolloutStart, cx: CommandContext) -> CommandOutcome {
         let RolloutStart { service, version, within } = start;
         let within_ms = within.as_millis().try_into().unwrap_or(u64::MAX);
-        let intent = Intent::StartRollout { service, version, within_ms, at_ms: clock::unix_ms() };
-        let trace = self.start_trace(&intent, from);
-        if self.operators.confirm_read().await.is_err() {
-            trace.finish(Outcome::Unknown);
-            return CommandOutcome::Unavailable;
-        }
-        match self.operators.check(&intent) {
-            Ok(()) => self.apply_intent(intent, trace).await,
-            Err(e) => {
-                trace.finish(Outcome::Refused);
-                let fault = Fault { what: e.to_string(), remedy: e.remedy() };
-                match e {
-                    Error::Busy { .. } => CommandOutcome::Busy(fault),
-                    _ => CommandOutcome::Invalid(fault),
-                }
-            }
-        }
+        let at_ms = clock::unix_ms();
+        self.apply_intent(Intent::StartRollout { service, version, within_ms, at_ms }, cx).await
     }
 
     /// Logs a result and counts refusals.
--- a/crates/cherrystream-control/src/role.rs
+++ b/crates/cherrystream-control/src/role.rs
@@ -10,6 +10,7 @@
 use crate::folder::DiskFolder;
 use crate::handle::{Event, Handle};
 use crate::incoming_transfers::IncomingTransfers;
+use crate::leader_client::LeaderClient;
 use crate::member_slot::{self, FindContext, MemberSlot, RoleStart};
 use crate::metrics::Metrics;
 use crate::operators::Operators;
@@ -25,6 +26,7 @@
 use cherrystream_net::interface::OperatorInterface;
 use cherrystream_net::key::Secret;
 use cherrystream_net::serve::{self, Phases};
+use cherrystream_net::suspensions::Suspensions;
 use cherrystream_schema::messages::JoinRequest;
 use cherrystream_schema::settings::{ControlSettings, OperatorSettings};
 use jsonrpsee::server::ServerHandle;
@@ -107,12 +109,19 @@
         let connections =
             connections.into_iter().map(|(id, connection)| (id, Arc::new(connection.sibling())));
         let connections = Arc::new(connections.collect::<BTreeMap<_, _>>());
+        let leader = LeaderClient {
+            handle: handle.clone(),
+            connections: connections.clone(),
+            metrics: cx.metrics.clone(),
+        };
         let operators = Operators {
             handle: handle.clone(),
             connections: connections.clone(),
             reach: reach.clone(),
             confirmations: Arc::default(),
+            leader,
             traces: CallTraces::new(cx.metrics.clone()),
+            suspensions: Suspensions::watch(),
         };
         let limits =
             LedgerLimits { window_ms: settings.key_window_ms, max_keys: settings.keys_at_most };
@@ -123,7 +132,7 @@
             reach,
             arrivals: IncomingTransfers::new(handle.events.clone()),
             distribution: Arc::new(Distribution::new(&cx.failure_domain)),
-            registrar: Registrar::start(&operators, cx.metrics.clone()),
+            registrar: Registrar::start(&operators),
             rollouts: Rollouts::new(rollout_limits(settings)),
             operators: operators.clone(),
             limits,
@@ -134,13 +143,12 @@
         task::spawn(rpc.rollouts.clone().run(rollouts::Context {
             handle: handle.clone(),
             connections: rpc.connections.clone(),
-            registrar: registrar.clone(),
+            registrar,
             metrics: cx.metrics.clone(),
         }));
         let rpc = rpc.serve(&settings.rpc_address, cx.key).await?;
         let orders = cx.orders.map(|interface| OperatorCommands {
             operators: operators.clone(),
-            registrar,
             traces: CommandTraces::new(cx.metrics.clone()),
             interface,
             metrics: cx.metrics.clone(),
--- a/crates/cherrystream-control/src/rpc_server.rs
+++ b/crates/cherrystream-control/src/rpc_server.rs
@@ -5,6 +5,7 @@
 use crate::errors::{Error, Result};
 use crate::handle::{Event, Handle, NoResult};
 use crate::incoming_transfers::IncomingTransfers;
+use crate::leader_client;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
 use crate::peers::{CallError, ReplicaConnection};
@@ -31,8 +32,8 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use messages::{
     Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, Command, DaemonStatus, HostRecord,
-    HostTally, Instance, JoinReply, JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply,
-    RaftMessage, ReleaseRequest, RouteOrderReply, SyncReply, SyncRequest,
+    HostTally, Instance, Intent, IntentReply, JoinReply, JoinRequest, OperatorAnswer, OperatorCall,
+    Piece, PieceReply, RaftMessage, ReleaseRequest, RouteOrderReply, SyncReply, SyncRequest,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -337,6 +338,10 @@
         self.handle.read().await.map_err(|e| self.no_result(e))
     }
 
+    async fn command_base(&self) -> RpcResult<Revision> {
+        Ok(self.handle.state.read().command_base())
+    }
+
     async fn reach(&self) -> RpcResult<Vec<DaemonStatus>> {
         let newest = self.handle.state.read().revision();
         Ok(self.reach.statuses(self.handle.clock.now(), newest))
@@ -389,6 +394,12 @@
         shared.map(|_| ()).map_err(|e| self.no_result(e))
     }
 
+    async fn apply_intent(&self, intent: Intent, base: Revision) -> RpcResult<IntentReply> {
+        let applied = self.handle.propose(Command::ApplyIntent { intent, base }).await;
+        let reply = leader_client::intent_reply(applied.map_err(|e| self.no_result(e))?);
+        reply.ok_or_else(|| self.no_result(NoResult::Unknown))
+    }
+
     async fn tally(&self, tallies: Vec<HostTally>) -> RpcResult<()> {
         self.rollouts.on_counts(&self.handle, &tallies);
         Ok(())
--- a/crates/cherrystream-control/src/standby.rs
+++ b/crates/cherrystream-control/src/standby.rs
@@ -5,9 +5,9 @@
 use cherrystream_core::units::Revision;
 use cherrystream_net::rpc::{self, ControlRpcServer};
 use cherrystream_schema::messages::{
-    Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, DaemonStatus, HostTally, JoinReply,
-    JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply, RaftMessage, ReleaseRequest,
-    ReplicaAddress, RouteOrderReply, SyncReply, SyncRequest,
+    Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, DaemonStatus, HostTally, Intent,
+    IntentReply, JoinReply, JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply,
+    RaftMessage, ReleaseRequest, ReplicaAddress, RouteOrderReply, SyncReply, SyncRequest,
 };
 use jsonrpsee::core::{RpcResult, async_trait};
 use parking_lot::RwLock;
@@ -95,6 +95,10 @@
         Err(rpc::unavailable(NOT_A_MEMBER))
     }
 
+    async fn command_base(&self) -> RpcResult<Revision> {
+        Err(rpc::unavailable(NOT_A_MEMBER))
+    }
+
     async fn reach(&self) -> RpcResult<Vec<DaemonStatus>> {
         Ok(Vec::new())
     }
@@ -123,6 +127,10 @@
         Err(rpc::unavailable(NOT_A_MEMBER))
     }
 
+    async fn apply_intent(&self, _intent: Intent, _base: Revision) -> RpcResult<IntentReply> {
+        Err(rpc::unavailable(NOT_A_MEMBER))
+    }
+
     async fn tally(&self, _counts: Vec<HostTally>) -> RpcResult<()> {
         Err(rpc::unavailable(NOT_A_MEMBER))
     }
--- a/crates/cherrystream-core/src/errors.rs
+++ b/crates/cherrystream-core/src/errors.rs
@@ -53,6 +53,12 @@
         /// Changes that were accepted in between.
         changes: String,
     },
+    /// A command on the same items was accepted while the confirmation was under way.
+    #[snafu(display("another command was accepted while plan '{plan}' was being confirmed"))]
+    Superseded {
+        /// Identifier of the plan.
+        plan: String,
+    },
     /// The plan has expired.
     #[snafu(display("plan '{plan}' has expired"))]
     Expired {
@@ -75,6 +81,7 @@
             Error::Conflict { .. } => {
                 "read the configuration, then state the intent again to get a new plan".into()
             }
+            Error::Superseded { .. } => "confirm the plan again if it is still wanted".into(),
             Error::Expired { .. } => "state the intent again to get a new plan".into(),
             Error::KeyReused => "send a new Idempotency-Key with each new intent".into(),
         }
@@ -86,6 +93,7 @@
             Error::Missing { .. } => 404,
             Error::BadValue { .. } => 400,
             Error::NoChange { .. } | Error::Busy { .. } | Error::Conflict { .. } => 409,
+            Error::Superseded { .. } => 503,
             Error::Expired { .. } => 410,
             Error::KeyReused => 422,
         }
--- a/crates/cherrystream-core/src/lib.rs
+++ b/crates/cherrystream-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod slowness;
 pub mod state;
 pub mod suspects;
+pub mod suspension;
 pub mod text_patch;
 pub mod token_bucket;
 pub mod transfer;
--- a/crates/cherrystream-core/src/state/changes.rs
+++ b/crates/cherrystream-core/src/state/changes.rs
@@ -32,6 +32,7 @@
     /// Applies a change to the shared state and retains it.
     pub(super) fn share(&mut self, change: &Change, at: Revision) {
         if let Change::Operator { intent } = change {
+            self.recent_commands.record(at, intent);
             let before = self.shared.config.clone();
             shared::apply(&mut self.shared, change);
             // A repeated command has no effect and must not invalidate plans.
--- a/crates/cherrystream-core/src/state/mod.rs
+++ b/crates/cherrystream-core/src/state/mod.rs
@@ -2,18 +2,24 @@
 
 mod changes;
 mod plans;
+mod recent_commands;
 mod recent_intents;
 
 pub use changes::UpdateKind;
 
-use crate::errors::Result;
+use crate::errors::{Error, Result};
 use crate::ledger::Ledger;
+use crate::rollout;
 use crate::routes;
 use crate::shared;
 use crate::text_patch;
 use crate::units::Revision;
 use cherrystream_schema::messages;
-use messages::{ClaimReply, Command, Entry, NumberedChange, Plan, RouteOrder, RoutePatch, Shared};
+use messages::{
+    Change, ClaimReply, Command, Entry, Intent, NumberedChange, Plan, RouteOrder, RoutePatch,
+    Shared,
+};
+use recent_commands::{CommandOrder, RecentCommands};
 use recent_intents::RecentIntents;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -27,6 +33,8 @@
     Planned(Box<Result<Plan>>),
     /// The revision at which the plan was accepted, or why it was not.
     Confirmed(Result<Revision>),
+    /// How an intent was applied.
+    Intended(IntentOutcome),
     /// The reply to a claim.
     Claimed(ClaimReply),
     /// The number of the current route table.
@@ -36,7 +44,18 @@
     RouteConflict(u64),
 }
 
-/// Payload payload of a command.
+/// How an intent with a base was applied.
+#[derive(Clone, Debug, PartialEq)]
+pub enum IntentOutcome {
+    /// The intent is in force at this revision.
+    InForce(Revision),
+    /// Another command on the same items was applied after the base.
+    Superseded,
+    /// The intent is invalid in the current state.
+    Refused(Error),
+}
+
+/// Payload of a command.
 #[derive(Clone, Debug)]
 pub enum Payload {
     /// No payload, or a malformed one.
@@ -90,6 +109,9 @@
     /// Whether route tables were skipped since the last one that was applied.
     #[serde(skip)]
     skipped_routes: bool,
+    /// Replicated, since applying a command depends on it.
+    #[serde(default)]
+    recent_commands: RecentCommands,
     /// Not replicated: only the leader's decision to rebase a plan depends on it.
     #[serde(skip)]
     recent_intents: RecentIntents,
@@ -109,6 +131,7 @@
             ledger: Ledger::default(),
             route_source: None,
             skipped_routes: false,
+            recent_commands: RecentCommands::default(),
             recent_intents: RecentIntents::default(),
         }
     }
@@ -128,9 +151,13 @@
             Command::PutPlan { plan } => {
                 return Applied::Planned(Box::new(self.put_plan(plan)));
             }
-            Command::Confirm { plan, at_ms } => {
-                return Applied::Confirmed(self.confirm(plan, *at_ms, at));
+            Command::Confirm { plan, at_ms, base } => {
+                return Applied::Confirmed(self.confirm(plan, *at_ms, *base, at));
+            }
+            Command::ApplyIntent { intent, base } => {
+                return Applied::Intended(self.apply_intent(intent, *base, at));
             }
+            Command::NoteRefusal { intent } => self.recent_commands.record(at, intent),
             Command::Share { change } => self.share(change, at),
             Command::ShareAll { changes } => {
                 changes.iter().for_each(|change| self.share(change, at));
@@ -155,6 +182,24 @@
         Applied::Nothing
     }
 
+    /// Applies an intent unless its items were commanded after its base.
+    fn apply_intent(&mut self, intent: &Intent, base: Revision, at: Revision) -> IntentOutcome {
+        match self.recent_commands.order(intent, base) {
+            CommandOrder::Superseded => return IntentOutcome::Superseded,
+            CommandOrder::Repeated => {
+                // Acknowledged again, so that older commands are superseded from here on.
+                self.recent_commands.record(at, intent);
+                return IntentOutcome::InForce(at);
+            }
+            CommandOrder::Newest => {}
+        }
+        if let Err(e) = rollout::plan::check(&self.shared, intent) {
+            return IntentOutcome::Refused(e);
+        }
+        self.share(&Change::Operator { intent: intent.clone() }, at);
+        IntentOutcome::InForce(at)
+    }
+
     /// Skips a route table that a later entry with a higher number replaces. The retained changes
     /// lack it, so they no longer lead from every daemon's revision to the newest one: once the
     /// later table is applied, daemons get the whole state.
@@ -232,6 +277,11 @@
         self.config_revision
     }
 
+    /// Returns the base of a command that is received now: the last command that is applied.
+    pub fn command_base(&self) -> Revision {
+        self.recent_commands.last().max(self.config_revision)
+    }
+
     /// Returns the ledger.
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
--- a/crates/cherrystream-core/src/state/plans.rs
+++ b/crates/cherrystream-core/src/state/plans.rs
@@ -1,6 +1,7 @@
 //! Plans of operators: recorded once per idempotency key, and confirmed at most once.
 
 use super::ControlState;
+use super::recent_commands::CommandOrder;
 use crate::errors::{Error, Result};
 use crate::plan;
 use crate::units::Revision;
@@ -47,8 +48,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if the plan is missing or expired, or the configuration has changed since.
-    pub(super) fn confirm(&mut self, id: &str, at_ms: u64, at: Revision) -> Result<Revision> {
+    /// Fails if the plan is missing or expired, the configuration has changed since, or its items
+    /// were commanded after the base of the confirmation.
+    pub(super) fn confirm(
+        &mut self,
+        id: &str,
+        at_ms: u64,
+        base: Option<Revision>,
+        at: Revision,
+    ) -> Result<Revision> {
         let Some(plan) = self.plans.get(id) else {
             return Err(no_plan(id));
         };
@@ -58,6 +66,11 @@
         if at_ms > plan.expires_at_ms {
             return Err(Error::Expired { plan: id.into() });
         }
+        if let Some(base) = base
+            && self.recent_commands.order(&plan.intent, base) == CommandOrder::Superseded
+        {
+            return Err(Error::Superseded { plan: id.into() });
+        }
         if plan.base_revision != self.config_revision {
             let changes = self.recent_intents.describe_since(plan.base_revision);
             return Err(Error::Conflict { changes });
--- /dev/null
+++ b/crates/cherrystream-core/src/state/recent_commands.rs
@@ -0,0 +1,73 @@
+//! Recent commands of operators, also those that changed nothing, to tell which of two commands on
+//! the same items is older.
+//!
+//! A command may be applied long after it was received: its replica was suspended, its bytes were
+//! held, or it was sent to the leader twice. Meanwhile its operator may have given it up, and a newer
+//! command may have been acknowledged. Each command therefore has a base: the last command that its
+//! replica had applied when it received it. It is discarded if a command on the same items was
+//! applied after its base.
+
+use crate::intent_scope;
+use crate::plan;
+use crate::units::Revision;
+use cherrystream_schema::messages::Intent;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Maximum number of retained commands: at 50 commands a second, a command may be under way for 20 s.
+const MAX_COMMANDS: usize = 1_024;
+
+/// Order of a command among those on the same items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CommandOrder {
+    /// No other command was applied after its base.
+    Newest,
+    /// The same command was applied after its base, and no other one after that.
+    Repeated,
+    /// Another command was applied after its base, or may have been.
+    Superseded,
+}
+
+/// Commands that were applied recently, in order.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct RecentCommands {
+    commands: VecDeque<(Revision, Intent)>,
+    /// Commands up to and including this revision are not retained.
+    after: Revision,
+}
+
+impl RecentCommands {
+    /// Records a command.
+    pub(super) fn record(&mut self, at: Revision, intent: &Intent) {
+        self.commands.push_back((at, intent.clone()));
+        if self.commands.len() > MAX_COMMANDS
+            && let Some((dropped, _)) = self.commands.pop_front()
+        {
+            self.after = dropped;
+        }
+    }
+
+    /// Returns the revision of the last command.
+    pub(super) fn last(&self) -> Revision {
+        self.commands.back().map_or(self.after, |(at, _)| *at)
+    }
+
+    /// Returns the order of a command with a base.
+    pub(super) fn order(&self, intent: &Intent, base: Revision) -> CommandOrder {
+        if base < self.after {
+            return CommandOrder::Superseded;
+        }
+        let newer = self.commands.iter().rev().take_while(|(at, _)| *at > base);
+        let mut overlapping = newer.filter(|(_, other)| intent_scope::overlap(intent, other));
+        match overlapping.next() {
+            None => CommandOrder::Newest,
+            Some((_, other)) if is_same(intent, other) => CommandOrder::Repeated,
+            Some(_) => CommandOrder::Superseded,
+        }
+    }
+}
+
+/// Returns whether two intents are the same, apart from the time at which a roll-out was started.
+fn is_same(a: &Intent, b: &Intent) -> bool {
+    plan::with_start_time(a, 0) == plan::with_start_time(b, 0)
+}
--- a/crates/cherrystream-core/tests/plans.rs
+++ b/crates/cherrystream-core/tests/plans.rs
@@ -48,7 +48,7 @@
     }
 
     fn try_confirm(&mut self, id: &str) -> Result<Revision, Error> {
-        match self.commit(Command::Confirm { plan: id.into(), at_ms: NOW_MS }) {
+        match self.commit(Command::Confirm { plan: id.into(), at_ms: NOW_MS, base: None }) {
             Applied::Confirmed(outcome) => outcome,
             other => panic!("{other:?}"),
         }
--- a/crates/cherrystream-core/tests/rollouts/state.rs
+++ b/crates/cherrystream-core/tests/rollouts/state.rs
@@ -180,7 +180,7 @@
         accepted: None,
     };
     log.commit(Command::PutPlan { plan: planned });
-    log.commit(Command::Confirm { plan: "p".into(), at_ms: 90_000 });
+    log.commit(Command::Confirm { plan: "p".into(), at_ms: 90_000, base: None });
     let known = &log.state.shared().config.rollouts["s"];
     assert_eq!((known.stage, known.started_at_ms), (RolloutStage::Trying, 90_000));
 }
--- a/crates/cherrystream-core/tests/sessions.rs
+++ b/crates/cherrystream-core/tests/sessions.rs
@@ -47,7 +47,7 @@
     }
 
     fn confirm(&mut self, id: &str, at_ms: u64) -> Applied {
-        self.commit(Command::Confirm { plan: id.into(), at_ms })
+        self.commit(Command::Confirm { plan: id.into(), at_ms, base: None })
     }
 }
 
--- a/crates/cherrystream-net/src/lib.rs
+++ b/crates/cherrystream-net/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod seeds;
 pub mod serve;
 pub mod stall;
+pub mod suspensions;
 pub mod tcp;
--- a/crates/cherrystream-net/src/rpc.rs
+++ b/crates/cherrystream-net/src/rpc.rs
@@ -14,9 +14,9 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
 use messages::{
-    Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, DaemonStatus, HostTally, JoinReply,
-    JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply, RaftMessage, ReleaseRequest,
-    RouteOrderReply, SyncReply, SyncRequest,
+    Change, ChunkReply, ChunkRequest, ClaimReply, ClaimRequest, DaemonStatus, HostTally, Intent,
+    IntentReply, JoinReply, JoinRequest, OperatorAnswer, OperatorCall, Piece, PieceReply,
+    RaftMessage, ReleaseRequest, Revision, RouteOrderReply, SyncReply, SyncRequest,
 };
 use std::future::Future;
 use std::ops::Deref;
@@ -73,6 +73,10 @@
     #[method(name = "read_index")]
     async fn read_index(&self) -> RpcResult<u64>;
 
+    /// Returns the base of a command that is received now.
+    #[method(name = "command_base")]
+    async fn command_base(&self) -> RpcResult<Revision>;
+
     /// Returns the daemons that send heartbeats to this replica.
     #[method(name = "reach")]
     async fn reach(&self) -> RpcResult<Vec<DaemonStatus>>;
@@ -98,6 +102,10 @@
     #[method(name = "share")]
     async fn share(&self, changes: Vec<Change>) -> RpcResult<()>;
 
+    /// Commits an intent, unless its items were commanded after the base revision.
+    #[method(name = "apply_intent")]
+    async fn apply_intent(&self, intent: Intent, base: Revision) -> RpcResult<IntentReply>;
+
     /// Delivers request counts of daemons during a roll-out.
     #[method(name = "tally")]
     async fn tally(&self, words: Vec<HostTally>) -> RpcResult<()>;
--- a/crates/cherrystream/tests/processes/late_commands.rs
+++ b/crates/cherrystream/tests/processes/late_commands.rs
@@ -98,7 +98,7 @@
 
     fn begin(&mut self, disturbance: Disturbance, replica: u64) {
         match disturbance {
-            Disturbance::Suspended => self.site.control(replica).signal(Signal::SIGSTOP),
+            Disturbance::Suspended => self.site.control(replica).suspend(),
             Disturbance::Held => self.api(replica).set(Mode::Hold),
             Disturbance::HeldBetweenReplicas => self.set_lines_from(replica, Mode::Hold),
         }
--- a/crates/cherrystream/tests/processes/support/process.rs
+++ b/crates/cherrystream/tests/processes/support/process.rs
@@ -52,6 +52,25 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
     }
 
+    /// Suspends the process, and waits until none of its threads runs.
+    pub fn suspend(&self) {
+        self.signal(Signal::SIGSTOP);
+        let start = Instant::now();
+        while !self.is_suspended() {
+            assert!(start.elapsed() < END_TIMEOUT, "the process runs for {END_TIMEOUT:?}");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn is_suspended(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        threads.map(|thread| thread.unwrap().path().join("stat")).all(|stat| {
+            // The state follows the name, which is in parentheses.
+            let stat = std::fs::read_to_string(stat).unwrap_or_default();
+            stat.rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with('T'))
+        })
+    }
+
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
--- a/crates/cherrystream/tests/soak/main.rs
+++ b/crates/cherrystream/tests/soak/main.rs
@@ -22,6 +22,7 @@
 mod crashing;
 mod keys;
 mod operators;
+#[allow(dead_code)]
 #[path = "../../../../platform/tests/support/orders.rs"]
 mod orders;
 mod plan;
