Control: a late registration does not return a leaving host to service

What callers saw: nothing was reported. By reading for the class of the incident on late commands: a registration that a suspended or slow replica commits after the one in which the same process said that it leaves put it back into service until its next heartbeat, and requests went to a host that was shutting down.

Cause: records of one process were applied in the order of the log, whichever was reported first.

Change: a process that leaves does not come back, so a record of the same incarnation that is not leaving is older and has no effect.

Evidence: a_late_registration_does_not_return_a_leaving_host_to_service failed before and passes. Records of different incarnations have no order (the number is random); a late one of an earlier process is replaced at the next heartbeat. That stays open.

--- a/crates/cherrystream-core/src/shared.rs
+++ b/crates/cherrystream-core/src/shared.rs
@@ -42,8 +42,15 @@
     }
 }
 
-/// Registers a host, and removes other hosts that registered the same peer address.
+/// Registers a host, and removes other hosts that registered the same peer address. A process that
+/// leaves does not come back, so a registration that says otherwise is older.
 fn put_host(shared: &mut Shared, record: &HostRecord) {
+    let is_older = |known: &HostRecord| {
+        known.incarnation == record.incarnation && known.leaving && !record.leaving
+    };
+    if shared.hosts.get(&record.host).is_some_and(is_older) {
+        return;
+    }
     let is_replaced =
         |h: &HostRecord| h.host != record.host && h.peer_address == record.peer_address;
     let stale: Vec<String> =
