Net: bytes without end that are no answer end the request

What callers saw: a request whose backend server sends interim answers, or a chunk size of zeros or a chunk extension, without end got no end through the daemon beside the server, and the daemon then served nobody else.

Cause: the HTTP client reads such bytes as long as there are any, without a part of an answer and without a limit. With a fast sender its task never waits, so the timers of the process, deadlines among them, do not run.

Change: a connection to a backend server fails once it has received 1 MiB since the request was sent or the last part of a body came. That is more than twice what the client buffers, so no answer can reach it.

Evidence: processes::odd_answers, repeatable and not, through the daemon beside the server and across a hop. Before: 'no end' or 'other requests are not served' for interim answers, chunk sizes (at the start, after a chunk, behind 128 KiB) and extensions; headers, one header, garbage, empty lines and trailers ended before as well. After: all end by the deadline and 0.5 s.

--- a/crates/cherrystream-net/src/lib.rs
+++ b/crates/cherrystream-net/src/lib.rs
@@ -14,6 +14,7 @@
 mod late_answers;
 pub mod managed_client;
 pub mod observe;
+mod overhead;
 pub mod pool;
 pub mod rpc;
 pub mod seeds;
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -5,6 +5,7 @@
 use crate::body::{self, Body, Ending, Watched};
 use crate::clock::Clock;
 use crate::late_answers::{Exchanges, Filtered};
+use crate::overhead::{Limited, Overhead};
 use cherrystream_core::silent_connections::{Evidence, FreshAnswer};
 use cherrystream_core::units::Timestamp;
 use http::{HeaderMap, HeaderName, Request, Response};
@@ -61,6 +62,7 @@
 struct Idle {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
+    overhead: Arc<Overhead>,
     activity: Arc<Activity>,
     since: Timestamp,
     /// Idle time after which it is closed.
@@ -148,9 +150,9 @@
     }
 
     fn reuse(&self, idle: Idle) -> Connection {
-        let Idle { sender, exchanges, activity, .. } = idle;
+        let Idle { sender, exchanges, overhead, activity, .. } = idle;
         let (idle, clock) = (self.idle.clone(), self.clock);
-        Connection { sender, exchanges, activity, idle, clock, is_reused: true }
+        Connection { sender, exchanges, overhead, activity, idle, clock, is_reused: true }
     }
 
     /// Returns the current time on the clock of the pool.
@@ -222,7 +224,9 @@
         let exchanges = Exchanges::new(self.id.clone());
         let activity = Activity::on_clock(self.clock);
         let stream = Observed::new(stream, activity.clone());
-        let io = TokioIo::new(Filtered::new(stream, exchanges.clone()));
+        let overhead = Arc::<Overhead>::default();
+        let stream = Limited::new(Filtered::new(stream, exchanges.clone()), overhead.clone());
+        let io = TokioIo::new(stream);
         let (sender, connection) = http1::handshake(io).await.map_err(|_| NoAnswer::NotSent)?;
         tokio::spawn(connection);
         self.connects.inc();
@@ -231,7 +235,7 @@
         open.push(Arc::downgrade(&activity));
         drop(open);
         let (idle, clock) = (self.idle.clone(), self.clock);
-        Ok(Connection { sender, exchanges, activity, idle, clock, is_reused: false })
+        Ok(Connection { sender, exchanges, overhead, activity, idle, clock, is_reused: false })
     }
 
     /// Sends a request on a connection.
@@ -246,6 +250,7 @@
     ) -> Result<Response<Body>, NoAnswer> {
         for _ in 0..MAX_SEND_ATTEMPTS {
             connection.exchanges.lock().begin(&req);
+            connection.overhead.reset();
             match connection.sender.try_send_request(req).await {
                 Ok(res) => return Ok(connection.watch(res)),
                 Err(mut e) => match e.take_message() {
@@ -275,6 +280,7 @@
 pub struct Connection {
     sender: SendRequest<Body>,
     exchanges: Arc<Mutex<Exchanges>>,
+    overhead: Arc<Overhead>,
     activity: Arc<Activity>,
     idle: Arc<Mutex<Vec<Idle>>>,
     clock: Clock,
@@ -295,12 +301,14 @@
     /// Returns the connection to the pool once the response body is read to its end.
     fn watch(self, res: Response<hyper::body::Incoming>) -> Response<Body> {
         let (parts, incoming) = res.into_parts();
-        let Connection { sender, exchanges, activity, idle, clock, .. } = self;
+        let Connection { sender, exchanges, overhead, activity, idle, clock, .. } = self;
         let timeout = idle_timeout(&parts.headers);
-        let body = Watched::watch(body::incoming(incoming), move |ending| {
+        let body = overhead.clone().watch(body::incoming(incoming));
+        let body = Watched::watch(body, move |ending| {
             let mut idle = idle.lock();
             if ending == Ending::Whole && idle.len() < MAX_IDLE {
-                idle.push(Idle { sender, exchanges, activity, since: clock.now(), timeout });
+                let since = clock.now();
+                idle.push(Idle { sender, exchanges, overhead, activity, since, timeout });
             }
         });
         Response::from_parts(parts, body)
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -9,6 +9,7 @@
 mod late_commands;
 mod leaving;
 mod limits;
+mod odd_answers;
 mod once;
 mod operators;
 // Shared with the soak test, which uses more of it.
