Daemon: a long answer that has begun ends at the deadline

Cause: the deadline covered an attempt up to the first 64 KiB of its answer. The watch for stalled readers counted a reader that waited for the server as stalled after 30 s, and dropped the body without waking it, so even then there was no end.

Change: the rest of a long answer fails at the deadline, so it does not look complete. A reader that waits for the server is not stalled. The bytes that were buffered before are passed on as one part: 32,768 parts of two bytes kept a task busy for a second, in which the deadline was not looked at.

Evidence: processes::odd_answers::an_answer_without_end_ends_at_the_deadline.

--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -95,7 +95,10 @@
         call.in_flight.fetch_add(1, Ordering::Relaxed);
         let attempt = async {
             match *server.host == *self.host {
-                true => buffer_if_short(self.send_local(call, server, permits).await?).await,
+                true => {
+                    let res = self.send_local(call, server, permits).await?;
+                    self.buffer_if_short(call, res).await
+                }
                 false => self.send_remote(call, current, server, permits).await,
             }
         };
@@ -209,7 +212,22 @@
         if !has_signals && result.is_ok() {
             self.on_no_signals(call, server, sent_at);
         }
-        buffer_if_short(result?).await
+        self.buffer_if_short(call, result?).await
+    }
+
+    /// Buffers a short answer, so that an incomplete one is detected before it is forwarded. The rest
+    /// of a long one fails at the deadline.
+    async fn buffer_if_short(&self, call: &Call, res: Response<Body>) -> AttemptResult {
+        let (parts, body) = res.into_parts();
+        let body = match body::read_start(body, MAX_CACHED_BYTES).await {
+            Ok(Start::Whole(bytes)) => body::full(bytes),
+            Ok(Start::Longer(body)) => {
+                let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
+                body::within(body, remaining + DEADLINE_GRACE)
+            }
+            Err(_) => return Err(Refused::new(Reason::BackendServerBroke)),
+        };
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Returns a connection to a peer. Nothing of the request is sent meanwhile, so it has provably
@@ -388,17 +406,6 @@
     }
 }
 
-/// Buffers a short answer, so that an incomplete one is detected before it is forwarded.
-async fn buffer_if_short(res: Response<Body>) -> AttemptResult {
-    let (parts, body) = res.into_parts();
-    let body = match body::read_start(body, MAX_CACHED_BYTES).await {
-        Ok(Start::Whole(bytes)) => body::full(bytes),
-        Ok(Start::Longer(body)) => body,
-        Err(_) => return Err(Refused::new(Reason::BackendServerBroke)),
-    };
-    Ok(Response::from_parts(parts, body))
-}
-
 /// Returns whether the backend server or its host accepts no requests for a while.
 fn is_unavailable(reason: Reason) -> bool {
     matches!(
--- a/crates/cherrystream-net/src/body.rs
+++ b/crates/cherrystream-net/src/body.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::time::{Instant, Sleep};
 
 /// Error of reading a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -85,7 +86,9 @@
         len += data.len();
         chunks.push(data);
         if len > limit {
-            return Ok(Start::Longer(Prefixed { chunks: chunks.into(), rest: body }.boxed()));
+            // One chunk costs the reader less than many small ones.
+            let chunks = [join(chunks)].into();
+            return Ok(Start::Longer(Prefixed { chunks, rest: body }.boxed()));
         }
     }
     Ok(Start::Whole(join(chunks)))
@@ -154,6 +157,42 @@
     }
 }
 
+/// A body that fails at a deadline.
+struct Timed {
+    body: Body,
+    deadline: Pin<Box<Sleep>>,
+}
+
+/// Returns a body that fails unless it has ended within a time.
+pub fn within(body: Body, time: Duration) -> Body {
+    Timed { body, deadline: Box::pin(tokio::time::sleep(time)) }.boxed()
+}
+
+impl http_body::Body for Timed {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        // The timer may lag behind while a fast sender keeps the task busy.
+        let is_over = self.deadline.deadline() <= Instant::now();
+        if is_over || self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err("the deadline of the request has passed".into())));
+        }
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// How a [`Watched`] body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/crates/cherrystream-net/src/stall.rs
+++ b/crates/cherrystream-net/src/stall.rs
@@ -17,6 +17,8 @@
     /// `None` once the reader has stalled.
     body: Option<Body>,
     last_read: Instant,
+    /// Whether the reader waits for the sender.
+    is_waiting: bool,
 }
 
 /// A body that fails once its reader has read nothing for too long.
@@ -29,7 +31,11 @@
 /// A stalled reader does not poll the body, so a separate task checks for it. Use this for long
 /// bodies only, since short ones do not justify a task.
 pub fn limit(body: Body, limit: Duration) -> Body {
-    let inner = Arc::new(Mutex::new(Inner { body: Some(body), last_read: Instant::now() }));
+    let inner = Arc::new(Mutex::new(Inner {
+        body: Some(body),
+        last_read: Instant::now(),
+        is_waiting: false,
+    }));
     tokio::spawn(watch(Arc::downgrade(&inner), limit));
     Limited { inner }.boxed()
 }
@@ -43,7 +49,7 @@
             if inner.body.is_none() {
                 return;
             }
-            if inner.last_read.elapsed() < limit {
+            if inner.is_waiting || inner.last_read.elapsed() < limit {
                 continue;
             }
             inner.body.take()
@@ -67,7 +73,7 @@
             return Poll::Ready(Some(Err("the reader has stalled".into())));
         };
         let polled = Pin::new(body).poll_frame(cx);
-        // A pending sender does not count as a stall of the reader.
+        inner.is_waiting = polled.is_pending();
         inner.last_read = Instant::now();
         polled
     }
--- a/crates/cherrystream/tests/processes/odd_answers.rs
+++ b/crates/cherrystream/tests/processes/odd_answers.rs
@@ -105,6 +105,18 @@
     ]
 }
 
+/// Returns answers whose content has no end, or does not come.
+fn without_end() -> Vec<Odd> {
+    vec![
+        odd(CHUNKED, Rest::Flow("2\r\nab\r\n")),
+        odd("HTTP/1.1 200 OK\r\n\r\n", Rest::Endless("x")),
+        odd("HTTP/1.1 200 OK\r\n\r\n", Rest::Flow("x")),
+        odd("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", Rest::Endless("x")),
+        long("Content-Length: 200000\r\n", false, Rest::Silence),
+        long("Transfer-Encoding: chunked\r\n", true, Rest::Silence),
+    ]
+}
+
 /// A server that answers health checks well and everything else with an odd answer.
 struct Server {
     address: String,
@@ -308,3 +320,9 @@
 async fn bytes_without_end_that_are_no_answer_end_the_request() {
     assert_ends(without_content()).await;
 }
+
+/// Guards against long answers that hang past the deadline once they have begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_end_ends_at_the_deadline() {
+    assert_ends(without_end()).await;
+}
