Daemon: an unrepeatable request whose answer stops frees its slot at its deadline

What callers saw: after 504 at the deadline the request still held a slot and a connection of the backend server, until the server closed.

Cause: an unrepeatable request completes even if its caller leaves, so that a retry gets its answer, but reading the rest of its answer had no time limit, unlike waiting for the head.

Change: it completes by its deadline, or its outcome is unknown.

Evidence: odd_answers::a_request_whose_server_falls_silent_in_its_answer_frees_its_slot. Before: 'the daemon goes on reading' 2 s after the end of the request.

--- a/crates/cherrystream-daemon/src/inbound/mod.rs
+++ b/crates/cherrystream-daemon/src/inbound/mod.rs
@@ -285,10 +285,14 @@
         let permit = self.admit(server, &call).await?;
         // Once sent, an unrepeatable request completes even if its caller disconnects, so that a
         // resend gets the answer and not an unknown outcome.
-        let (inbound, server) = (self.clone(), server.clone());
+        let (inbound, server, deadline) = (self.clone(), server.clone(), call.deadline);
         let exchange = tokio::spawn(async move {
             let result = inbound.exchange(&server, permit, place, call).await;
-            attempt.settle(result).await
+            let remaining = deadline.remaining(inbound.clock.now()).unwrap_or_default();
+            match tokio::time::timeout(remaining, attempt.settle(result)).await {
+                Ok(settled) => settled,
+                Err(_) => Err(inbound.refuse(Reason::DeadlinePassed)),
+            }
         });
         exchange.await.unwrap_or_else(|_| Err(self.refuse(Reason::BackendServerBroke)))
     }
--- a/crates/cherrystream/tests/processes/odd_answers.rs
+++ b/crates/cherrystream/tests/processes/odd_answers.rs
@@ -117,6 +117,14 @@
     ]
 }
 
+/// Returns short answers whose server falls silent.
+fn silent() -> Vec<Odd> {
+    vec![
+        odd("HTTP/1.1 200 OK\r\nContent-", Rest::Silence),
+        odd("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", Rest::Silence),
+    ]
+}
+
 /// A server that answers health checks well and everything else with an odd answer.
 struct Server {
     address: String,
@@ -326,3 +334,9 @@
 async fn an_answer_without_end_ends_at_the_deadline() {
     assert_ends(without_end()).await;
 }
+
+/// Guards against a slot and a connection that an unrepeatable request holds for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_server_falls_silent_in_its_answer_frees_its_slot() {
+    assert_ends(silent()).await;
+}
