Soak: an operator of evacuations, some of whose tries are delivered late

The soak had no evacuation. An operator now starts and ends evacuations of failure domains without hosts, gives up some commands, and leaves tries that are delivered up to 1.5 s later together with the end of their connection, beside all other faults. Each acknowledged command must be in force until a newer one is sent, and none may be refused with 4xx. Its draws are its own, so those of the other operators and faults do not change.

--- a/crates/cherrystream/tests/soak/main.rs
+++ b/crates/cherrystream/tests/soak/main.rs
@@ -20,9 +20,9 @@
 mod checks;
 mod cluster;
 mod crashing;
+mod evacuations;
 mod keys;
 mod operators;
-#[allow(dead_code)]
 #[path = "../../../../platform/tests/support/orders.rs"]
 mod orders;
 mod plan;
@@ -71,6 +71,9 @@
 /// Salt of the seed for silences, which keeps the draws of the other faults independent.
 const SILENCES_SALT: u64 = 0x7369_6c65_6e74;
 
+/// Salt of the seed for evacuations, which keeps the draws of the other operators independent.
+const EVACUATIONS_SALT: u64 = 0x6576_6163;
+
 fn size_of(seed: u64) -> Size {
     if env_number("SOAK_LARGE").is_some() {
         return Size { controls: 3, daemons: LARGEST_DAEMON_COUNT };
@@ -224,6 +227,8 @@
         let seed = (seed << 8) + operator;
         operating.spawn(operators::operate(apis.clone(), seed, stop.clone()));
     }
+    let evacuating = evacuations::operate(apis.clone(), seed ^ EVACUATIONS_SALT, stop.clone());
+    let evacuating = keyed.then(|| tokio::spawn(evacuating));
     let sends_crashing = keyed && crashing::is_in(seed);
     let stop_crashing = Arc::new(AtomicBool::new(false));
     let calling_crashing = sends_crashing.then(|| {
@@ -271,6 +276,11 @@
     let records: Vec<callers::CallRecord> =
         calling.join_all().await.into_iter().flatten().collect();
     let reports = operating.join_all().await;
+    let evacuations = match evacuating {
+        Some(evacuating) => evacuating.await.expect("the operator has not panicked"),
+        None => evacuations::Observed::default(),
+    };
+    violations.extend(evacuations.violations);
     let observations = watching.join_all().await;
     cluster.check_running(size);
     violations.append(&mut checks::violations(&cluster, &records));
@@ -298,7 +308,8 @@
     println!(
         "seed {seed}: {} daemons, {hosts:?}, faults {:?}, {} requests {:?}, {}, \
          {} without an answer from daemons that were not killed, \
-         {} changes and {} tables accepted, a daemon lagged for at most {:?}, served again after \
+         {} changes and {} tables accepted, {} evacuations acknowledged beside {} late tries, a \
+         daemon lagged for at most {:?}, served again after \
          {recovered:?}, last table applied after {last:?}, {} times judged after silences, served \
          within {:?}, {} late after silences, {} guarantees violated",
         size.daemons,
@@ -309,6 +320,8 @@
         unanswered.len(),
         accepted.len(),
         replaced.accepted,
+        evacuations.acknowledged,
+        evacuations.late,
         observations.iter().map(|observation| observation.longest).max().unwrap_or_default(),
         probed.judged,
         probed.longest,
