Tests: answers without end and answers that are cut, on the platform's interface as well

The 33 odd answers are also sent by an instance that reports itself, to requests of routes, repeatable and not, through the daemon beside it and across a hop. None of the cut ones is passed on as whole, none is said not to have run, all end by their deadline and 0.5 s.

--- /dev/null
+++ b/crates/cherrystream/tests/processes/odd_answers/mod.rs
@@ -0,0 +1,281 @@
+//! Backend servers that send bytes without end that are no answer, or break off their answers, on
+//! both interfaces.
+
+mod answers;
+mod server;
+
+use super::orders;
+use super::support::client::{Answer, Ask};
+use super::support::site::{Daemon, DaemonOptions, Site};
+use super::support::{client, wait};
+use answers::Odd;
+use server::Server;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+#[path = "../../../../../platform/tests/support/requests.rs"]
+mod requests;
+
+const SERVICE: &str = "quotes";
+/// Host name of the routes.
+const HOST: &str = "quotes.test";
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// Longest time beyond the deadline until a request has ended.
+const END_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time until another request is served after one with an odd answer.
+const SERVED_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time between two reports of an instance.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Protocol towards callers and backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interface {
+    Own,
+    Platform,
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Repeat {
+    Allowed,
+    Forbidden,
+}
+
+impl Interface {
+    fn answer_head(self) -> server::AnswerHead {
+        match self {
+            Interface::Own => |_| String::new(),
+            Interface::Platform => requests::answer_head,
+        }
+    }
+
+    /// Returns a request with an ordinary answer.
+    fn even(self) -> Ask {
+        self.complete(Ask::get("/even/x"))
+    }
+
+    /// Returns a request with an odd answer.
+    fn odd(self, repeat: Repeat) -> Ask {
+        let ask = match (self, repeat) {
+            (_, Repeat::Allowed) => Ask::get("/odd/x"),
+            (Interface::Own, Repeat::Forbidden) => {
+                Ask::post("/odd-once/x", "").key(&format!("{:032x}", rand::random::<u128>()))
+            }
+            (Interface::Platform, Repeat::Forbidden) => Ask::post("/odd-once/x", ""),
+        };
+        self.complete(ask)
+    }
+
+    fn complete(self, ask: Ask) -> Ask {
+        let deadline = DEADLINE.as_millis();
+        match self {
+            Interface::Own => ask.service(SERVICE).with("cherrystream-deadline-ms", deadline),
+            Interface::Platform => ask
+                .with("host", HOST)
+                .with(requests::ATTEMPT_ID, format!("{:016x}", rand::random::<u64>()))
+                .with(requests::TIMEOUT_MS, deadline),
+        }
+    }
+
+    /// Returns whether an answer states that its request has not run.
+    fn says_not_run(self, answer: &Answer) -> bool {
+        match self {
+            Interface::Own => answer.outcome() == "not-run",
+            Interface::Platform => requests::NOT_RUN.contains(&answer.status.as_u16()),
+        }
+    }
+}
+
+/// A daemon beside the server, and another one.
+struct Fleet {
+    interface: Interface,
+    site: Site,
+    near: Daemon,
+    far: Daemon,
+    server: Server,
+    reporting: JoinSet<()>,
+}
+
+impl Fleet {
+    async fn start(interface: Interface) -> Fleet {
+        let mut site = Site::new(1);
+        if interface == Interface::Platform {
+            site.top_lines.push("interface: platform".into());
+        }
+        site.start_control(1);
+        site.leader().await;
+        let instances = site.address(7_800);
+        let opts = DaemonOptions {
+            lines: vec![format!("instance_address: {instances}"), format!("service: {SERVICE}")],
+            control: None,
+        };
+        let near = site.start_daemon_with("host-a", "a", 1, &opts);
+        let far = site.start_daemon("host-b", "b", 2);
+        let server = Server::start(&site.address(0), interface.answer_head()).await;
+        let reporting = JoinSet::new();
+        let mut fleet = Fleet { interface, site, near, far, server, reporting };
+        match interface {
+            Interface::Own => fleet.configure_services().await,
+            Interface::Platform => fleet.configure_routes(instances).await,
+        }
+        for daemon in [&fleet.near, &fleet.far] {
+            wait::until("a request is served", || async {
+                (daemon.call(&interface.even()).await?.status == 200).then_some(())
+            })
+            .await;
+        }
+        fleet
+    }
+
+    async fn configure_services(&self) {
+        self.site.put_service(SERVICE).await;
+        self.site
+            .accept(serde_json::json!({
+                "intent": "put-backend-server", "service": SERVICE, "name": "odd",
+                "host": "host-a", "address": self.server.address, "slots": 12
+            }))
+            .await;
+        self.site
+            .accept(serde_json::json!({
+                "intent": "put-kind", "service": SERVICE, "kind": "order", "method": "POST",
+                "path_prefix": "/odd-once", "repeatable": false, "weight": 5, "deadline_ms": 8_000
+            }))
+            .await;
+    }
+
+    async fn configure_routes(&mut self, instances: String) {
+        let route = |name: &str, repeatable| orders::RouteLine {
+            name: name.into(),
+            host: HOST.into(),
+            path_prefix: format!("/{name}/"),
+            repeatable,
+            timeout_s: 8,
+            attempts: 2,
+        };
+        let routes = [route("even", true), route("odd", true), route("odd-once", false)];
+        let replace = Ask::post(orders::REPLACE, orders::table(1, SERVICE, routes.into_iter()));
+        let api = self.site.api(1);
+        wait::until("the routes are accepted", || async {
+            (client::send(&api, &replace).await?.status == 200).then_some(())
+        })
+        .await;
+        let address = self.server.address.clone();
+        self.reporting.spawn(async move {
+            for seq in 1.. {
+                let (path, body) = requests::heartbeat("i-odd", SERVICE, &address, seq);
+                let _ = client::send(&instances, &Ask::post(&path, body)).await;
+                tokio::time::sleep(REPORT_INTERVAL).await;
+            }
+        });
+    }
+
+    /// Returns how requests with an odd answer fail to end as they should, by daemon and request.
+    async fn check(&self, odd: &Odd) -> Vec<String> {
+        self.server.answer.send_replace(Some(odd.clone()));
+        let mut wrong = Vec::new();
+        for (daemon, place) in [(&self.near, "near"), (&self.far, "far")] {
+            for repeat in [Repeat::Allowed, Repeat::Forbidden] {
+                if let Some(what) = self.check_one(daemon, repeat).await {
+                    let begin = String::from_utf8_lossy(&odd.begin[..odd.begin.len().min(80)]);
+                    wrong.push(format!("{place} {repeat:?} {begin:?} {:?}: {what}", odd.rest));
+                }
+            }
+        }
+        wrong
+    }
+
+    async fn check_one(&self, daemon: &Daemon, repeat: Repeat) -> Option<String> {
+        if !self.is_served(daemon).await {
+            return Some("other requests are not served".into());
+        }
+        let start = Instant::now();
+        let limit = DEADLINE + END_TIMEOUT;
+        let ask = self.interface.odd(repeat);
+        let Ok(answer) = tokio::time::timeout(limit * 2, daemon.call(&ask)).await else {
+            return Some("no end".into());
+        };
+        let took = start.elapsed();
+        if took > limit {
+            return Some(format!("ended after {took:?}"));
+        }
+        if let Some(answer) = answer {
+            if answer.status.is_success() {
+                return Some(format!("{} with {} bytes", answer.status, answer.body.len()));
+            }
+            if self.interface.says_not_run(&answer) {
+                return Some(format!("{} says that it has not run", answer.status));
+            }
+        }
+        let mut open = self.server.open.subscribe();
+        let closed = tokio::time::timeout(limit, open.wait_for(|n| *n == 0)).await;
+        closed.is_err().then(|| "the daemon goes on reading".into())
+    }
+
+    /// Returns whether an ordinary request is served soon. A server that fails is avoided for a
+    /// while.
+    async fn is_served(&self, daemon: &Daemon) -> bool {
+        let ask = self.interface.even();
+        let serving = wait::until("an ordinary request is served", || async {
+            (daemon.call(&ask).await?.status == 200).then_some(())
+        });
+        tokio::time::timeout(SERVED_TIMEOUT, serving).await.is_ok()
+    }
+}
+
+async fn assert_ends(interface: Interface, answers: Vec<Odd>) {
+    let fleet = Fleet::start(interface).await;
+    let mut wrong = Vec::new();
+    for odd in &answers {
+        wrong.extend(fleet.check(odd).await);
+    }
+    assert!(wrong.is_empty(), "{interface:?}: {wrong:#?}");
+}
+
+/// Guards against answers that break off and are passed on as whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_is_never_passed_on_as_whole() {
+    assert_ends(Interface::Own, answers::cut()).await;
+}
+
+/// Guards against answers that break off and are passed on as whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_is_never_passed_on_as_whole_on_the_platform() {
+    assert_ends(Interface::Platform, answers::cut()).await;
+}
+
+/// Guards against daemons that are kept busy, and requests that hang past their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_that_are_no_answer_end_the_request() {
+    assert_ends(Interface::Own, answers::without_content()).await;
+}
+
+/// Guards against daemons that are kept busy, and requests that hang past their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_that_are_no_answer_end_the_request_on_the_platform() {
+    assert_ends(Interface::Platform, answers::without_content()).await;
+}
+
+/// Guards against long answers that hang past the deadline once they have begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_end_ends_at_the_deadline() {
+    assert_ends(Interface::Own, answers::without_end()).await;
+}
+
+/// Guards against long answers that hang past the deadline once they have begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_end_ends_at_the_deadline_on_the_platform() {
+    assert_ends(Interface::Platform, answers::without_end()).await;
+}
+
+/// Guards against a slot and a connection that an unrepeatable request holds for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_server_falls_silent_in_its_answer_frees_its_slot() {
+    assert_ends(Interface::Own, answers::silent()).await;
+}
+
+/// Guards against a slot and a connection that an unrepeatable request holds for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_server_falls_silent_in_its_answer_frees_its_slot_on_the_platform() {
+    assert_ends(Interface::Platform, answers::silent()).await;
+}
