Net: a fast sender does not delay other tasks and timers

What callers saw: while four other callers never ended a chunk size of their requests, a request to the same daemon got no answer within 6 s. Nobody reported it; found by looking for the cause of the answers without end elsewhere.

Cause: reading from a socket that always has bytes never waits. A task gives way only after 128 reads of up to 64 KiB each, and timers and sockets of the process are looked at only every 61 tasks.

Change: the reader of an accepted connection pauses every 8 KiB.

Evidence: odd_requests::other_requests_are_served_while_callers_send_bytes_without_end. Before: no answer in 6 s.

--- a/crates/cherrystream-net/src/lib.rs
+++ b/crates/cherrystream-net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod connection_metrics;
 pub mod errors;
+mod fair;
 pub mod interface;
 pub mod key;
 mod late_answers;
--- a/crates/cherrystream-net/src/serve.rs
+++ b/crates/cherrystream-net/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Body;
 use crate::errors::{Error, Result};
+use crate::fair::Fair;
 use crate::tcp;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -176,7 +177,7 @@
         let answer = handler(req);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(Fair::new(stream)), service);
     tokio::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => return log_end(result),
--- a/crates/cherrystream/tests/processes/main.rs
+++ b/crates/cherrystream/tests/processes/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod odd_answers;
+mod odd_requests;
 mod once;
 mod operators;
 // Shared with the soak test, which uses more of it.
