Control: a command on a connection that was idle waits for the end of the connection

Cause: the close came later than the round trip for which the command waits.

Change: a command that arrives on a connection which carried nothing for 0.5 s or more may be that old, so it waits 0.2 s more. Bytes on a connection that was opened or used less than 0.5 s before are younger than the patience that is assumed of a caller. A command on an idle kept connection takes 0.2 s longer for it; one on a connection of its own does not.

--- a/crates/cherrystream-control/src/api.rs
+++ b/crates/cherrystream-control/src/api.rs
@@ -5,10 +5,12 @@
 use crate::orders::OperatorCommands;
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::key::{self, Secret};
+use cherrystream_net::serve::IdleTime;
 use cherrystream_schema::messages::{OperatorAnswer, OperatorCall};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{Extensions, HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum size of a request body.
 const MAX_BODY_BYTES: usize = 256 * 1024;
@@ -61,8 +63,9 @@
             let remedy = "send `Authorization: Bearer TOKEN` with an operator's token";
             return response(operators::error(401, "the token is missing or wrong", remedy));
         };
+        let idle = idle_time(req.extensions());
         match read_call(operator, req).await {
-            Ok(call) => response(self.operators.answer(call).await),
+            Ok(call) => response(self.operators.answer(call, idle).await),
             Err(answer) => {
                 self.metrics.refuse("bad-call");
                 response(answer)
@@ -87,6 +90,11 @@
     }
 }
 
+/// Returns how long the connection of a request was idle before it.
+pub(crate) fn idle_time(extensions: &Extensions) -> Duration {
+    extensions.get().map_or(Duration::ZERO, |IdleTime(idle)| *idle)
+}
+
 async fn read_call(
     operator: String,
     req: Request<Incoming>,
--- a/crates/cherrystream-control/src/operators.rs
+++ b/crates/cherrystream-control/src/operators.rs
@@ -41,6 +41,8 @@
 /// Age up to which a command that a newer one superseded is proposed again. A caller that waits
 /// longer may have sent it to another replica, and a newer one after it.
 pub(crate) const MAX_REPEAT_AGE: Duration = Duration::from_millis(500);
+/// Time for which a command that may be older waits for the end of its connection.
+const CLOSE_WAIT: Duration = Duration::from_millis(200);
 
 /// Handles operator calls.
 #[derive(Clone)]
@@ -62,12 +64,13 @@
 }
 
 impl Operators {
-    /// Handles a call of an operator.
-    pub async fn answer(&self, mut call: OperatorCall) -> OperatorAnswer {
+    /// Handles a call of an operator on a connection that was idle for a time before.
+    pub async fn answer(&self, mut call: OperatorCall, idle: Duration) -> OperatorAnswer {
         if !is_confirmation(&call) {
             return self.answer_at_leader(&call).await;
         }
         let receipt = self.suspensions.receive();
+        await_close_if_old(idle).await;
         loop {
             call.base = match self.leader.command_base().await {
                 Ok(base) => Some(base),
@@ -490,6 +493,14 @@
     OperatorAnswer { superseded: matches!(e, Error::Superseded { .. }), ..answer }
 }
 
+/// Waits before a command that may be old, as its connection was idle for long: the link may have held
+/// its bytes and the end of the connection, which then ends the wait and the command.
+pub(crate) async fn await_close_if_old(idle: Duration) {
+    if idle >= MAX_REPEAT_AGE {
+        tokio::time::sleep(CLOSE_WAIT).await;
+    }
+}
+
 fn is_confirmation(call: &OperatorCall) -> bool {
     call.method == "POST" && call.path.ends_with("/confirm")
 }
--- a/crates/cherrystream-control/src/orders.rs
+++ b/crates/cherrystream-control/src/orders.rs
@@ -1,9 +1,10 @@
 //! Operator commands that arrive in the format of a configured interface: replacing the route
 //! table, intents and roll-outs.
 
+use crate::api;
 use crate::command_trace::{CommandTraces, Outcome};
 use crate::metrics::Metrics;
-use crate::operators::{MAX_REPEAT_AGE, Operators};
+use crate::operators::{self, MAX_REPEAT_AGE, Operators};
 use cherrystream_core::plan;
 use cherrystream_core::routes;
 use cherrystream_net::body::{self, Body, Start};
@@ -18,6 +19,7 @@
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum size of the body of a command.
 const MAX_COMMAND_BYTES: usize = 16 * 1024 * 1024;
@@ -25,6 +27,8 @@
 /// What is known about a command besides its content.
 struct CommandContext {
     receipt: Receipt,
+    /// Time for which its connection was idle before.
+    idle: Duration,
     from: Option<SocketAddr>,
 }
 
@@ -47,6 +51,7 @@
         let (head, incoming) = req.into_parts();
         let cx = CommandContext {
             receipt: self.operators.suspensions.receive(),
+            idle: api::idle_time(&head.extensions),
             from: head.extensions.get().map(|ClientAddress(address)| *address),
         };
         let outcome = match body::read_request(incoming, MAX_COMMAND_BYTES).await {
@@ -82,8 +87,9 @@
 
     /// Applies an intent. Returns once it is committed to the replicated log.
     async fn apply_intent(&self, intent: Intent, cx: CommandContext) -> CommandOutcome {
-        let CommandContext { receipt, from } = cx;
+        let CommandContext { receipt, idle, from } = cx;
         let mut trace = self.traces.start(plan::describe(&intent), from);
+        operators::await_close_if_old(idle).await;
         loop {
             let Ok(base) = self.operators.leader.command_base().await else {
                 trace.finish(Outcome::Unknown);
--- a/crates/cherrystream-net/src/serve.rs
+++ b/crates/cherrystream-net/src/serve.rs
@@ -1,6 +1,7 @@
 //! Listeners for HTTP/1.1 and HTTP/2 on one port, with graceful shutdown.
 
 use crate::body::Body;
+use crate::clock::Clock;
 use crate::errors::{Error, Result};
 use crate::fair::Fair;
 use crate::tcp;
@@ -8,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use parking_lot::Mutex;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -38,6 +40,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ClientAddress(pub SocketAddr);
 
+/// Time for which a connection carried nothing before a request, an extension of the request. The
+/// request cannot have been sent longer ago.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleTime(pub Duration);
+
 /// Phases of the life cycle of a process, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -165,17 +172,26 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    let clock = Clock::default();
+    let accepted = clock.now();
     let _ = stream.set_nodelay(true);
     if !wait_for_first_byte(&stream, &phases).await {
         return;
     }
     let client = stream.peer_addr().ok().map(ClientAddress);
+    let last_used = Arc::new(Mutex::new(accepted));
     let service = hyper::service::service_fn(move |mut req: Request<Incoming>| {
+        let idle = clock.now().since(*last_used.lock());
+        req.extensions_mut().insert(IdleTime(idle));
         if let Some(client) = client {
             req.extensions_mut().insert(client);
         }
-        let answer = handler(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let (answer, last_used) = (handler(req), last_used.clone());
+        async move {
+            let answer = answer.await;
+            *last_used.lock() = clock.now();
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(Fair::new(stream)), service);
     tokio::pin!(connection);
