--- a/crates/cherrystream-control/src/orders.rs
+++ b/crates/cherrystream-control/src/orders.rs
@@ -2,7 +2,7 @@
 //! table, intents and roll-outs.
 
 use crate::api;
-use crate::command_trace::{CommandTraces, Outcome};
+use crate::command_trace::{CommandTrace, CommandTraces, Outcome};
 use crate::metrics::Metrics;
 use crate::operators::{self, MAX_REPEAT_AGE, Operators};
 use cherrystream_core::plan;
@@ -87,46 +87,50 @@
 
     /// Applies an intent. Returns once it is committed to the replicated log.
     async fn apply_intent(&self, intent: Intent, cx: CommandContext) -> CommandOutcome {
-        let CommandContext { receipt, idle, from } = cx;
-        let mut trace = self.traces.start(plan::describe(&intent), from);
-        operators::await_close_if_old(idle).await;
+        let mut trace = self.traces.start(plan::describe(&intent), cx.from);
+        operators::await_close_if_old(cx.idle).await;
         loop {
-            let Ok(base) = self.operators.leader.command_base().await else {
-                trace.finish(Outcome::Unknown);
-                return CommandOutcome::Unavailable;
-            };
-            trace.set_base(base);
-            if receipt.may_be_old() {
-                trace.finish(Outcome::Stale);
-                return CommandOutcome::Unavailable;
-            }
-            match self.operators.leader.apply_intent(&intent, base).await {
+            match self.try_apply_intent(&intent, &cx.receipt, &mut trace).await {
                 Ok(IntentReply::Committed { revision }) => {
                     trace.commit(revision);
                     return CommandOutcome::Committed;
                 }
-                Ok(IntentReply::Superseded) if receipt.age() < MAX_REPEAT_AGE => {}
+                Ok(IntentReply::Superseded) if cx.receipt.age() < MAX_REPEAT_AGE => {}
                 Ok(IntentReply::Superseded) => {
                     trace.finish(Outcome::Superseded);
                     return CommandOutcome::Unavailable;
                 }
                 Ok(IntentReply::Refused { busy, error, remedy }) => {
                     trace.finish(Outcome::Refused);
-                    let fault = Fault { what: error, remedy };
-                    return match busy {
-                        true => CommandOutcome::Busy(fault),
-                        false => CommandOutcome::Invalid(fault),
-                    };
+                    return refused(busy, Fault { what: error, remedy });
                 }
-                Err(e) => {
-                    log::debug!("orders: no outcome: {}", e.message());
-                    trace.finish(Outcome::Unknown);
+                Err(outcome) => {
+                    trace.finish(outcome);
                     return CommandOutcome::Unavailable;
                 }
             }
         }
     }
 
+    /// Sends an intent to the leader, with what is committed now as its base.
+    async fn try_apply_intent(
+        &self,
+        intent: &Intent,
+        receipt: &Receipt,
+        trace: &mut CommandTrace,
+    ) -> Result<IntentReply, Outcome> {
+        let leader = &self.operators.leader;
+        let base = leader.command_base().await.map_err(|_| Outcome::Unknown)?;
+        trace.set_base(base);
+        if receipt.may_be_old() {
+            return Err(Outcome::Stale);
+        }
+        leader.apply_intent(intent, base).await.map_err(|e| {
+            log::debug!("orders: no outcome: {}", e.message());
+            Outcome::Unknown
+        })
+    }
+
     /// Starts a roll-out, unless the current state forbids it.
     async fn start_rollout(&self, start: RolloutStart, cx: CommandContext) -> CommandOutcome {
         let RolloutStart { service, version, within } = start;
@@ -158,3 +162,10 @@
         }
     }
 }
+
+fn refused(busy: bool, fault: Fault) -> CommandOutcome {
+    match busy {
+        true => CommandOutcome::Busy(fault),
+        false => CommandOutcome::Invalid(fault),
+    }
+}
