Control: a refused command is not taken for the same one in force

What callers saw: nothing; found by reading the diff. A command whose base is older than the refusal of the same command to another operator was acknowledged without being applied, and an earlier try of a refused roll-out could still start it.

Cause: refusals were recorded like commands in force, and those of commands without a plan were not recorded at all.

Change: refusals are recorded as such. They supersede older commands and repeat none.

Evidence: late_intents::a_command_is_not_taken_for_the_same_one_that_was_refused failed before (InForce, not evacuated) and passes; a_refused_start_of_a_roll_out_supersedes_an_earlier_try is new with the change.

--- a/crates/cherrystream-core/src/state/mod.rs
+++ b/crates/cherrystream-core/src/state/mod.rs
@@ -157,7 +157,7 @@
             Command::ApplyIntent { intent, base } => {
                 return Applied::Intended(self.apply_intent(intent, *base, at));
             }
-            Command::NoteRefusal { intent } => self.recent_commands.record(at, intent),
+            Command::NoteRefusal { intent } => self.recent_commands.record_refusal(at, intent),
             Command::Share { change } => self.share(change, at),
             Command::ShareAll { changes } => {
                 changes.iter().for_each(|change| self.share(change, at));
@@ -194,6 +194,7 @@
             CommandOrder::Newest => {}
         }
         if let Err(e) = rollout::plan::check(&self.shared, intent) {
+            self.recent_commands.record_refusal(at, intent);
             return IntentOutcome::Refused(e);
         }
         self.share(&Change::Operator { intent: intent.clone() }, at);
--- a/crates/cherrystream-core/src/state/recent_commands.rs
+++ b/crates/cherrystream-core/src/state/recent_commands.rs
@@ -22,34 +22,51 @@
 pub(super) enum CommandOrder {
     /// No other command was applied after its base.
     Newest,
-    /// The same command was applied after its base, and no other one after that.
+    /// The same command came into force after its base, and no other one was applied after that.
     Repeated,
     /// Another command was applied after its base, or may have been.
     Superseded,
 }
 
+/// A command and whether it was refused, so that it is not in force.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct RecentCommand {
+    at: Revision,
+    intent: Intent,
+    is_refused: bool,
+}
+
 /// Commands that were applied recently, in order.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct RecentCommands {
-    commands: VecDeque<(Revision, Intent)>,
+    commands: VecDeque<RecentCommand>,
     /// Commands up to and including this revision are not retained.
     after: Revision,
 }
 
 impl RecentCommands {
-    /// Records a command.
+    /// Records a command that is in force.
     pub(super) fn record(&mut self, at: Revision, intent: &Intent) {
-        self.commands.push_back((at, intent.clone()));
+        self.push(RecentCommand { at, intent: intent.clone(), is_refused: false });
+    }
+
+    /// Records that a command was refused.
+    pub(super) fn record_refusal(&mut self, at: Revision, intent: &Intent) {
+        self.push(RecentCommand { at, intent: intent.clone(), is_refused: true });
+    }
+
+    fn push(&mut self, command: RecentCommand) {
+        self.commands.push_back(command);
         if self.commands.len() > MAX_COMMANDS
-            && let Some((dropped, _)) = self.commands.pop_front()
+            && let Some(dropped) = self.commands.pop_front()
         {
-            self.after = dropped;
+            self.after = dropped.at;
         }
     }
 
     /// Returns the revision of the last command.
     pub(super) fn last(&self) -> Revision {
-        self.commands.back().map_or(self.after, |(at, _)| *at)
+        self.commands.back().map_or(self.after, |command| command.at)
     }
 
     /// Returns the order of a command with a base.
@@ -57,11 +74,13 @@
         if base < self.after {
             return CommandOrder::Superseded;
         }
-        let newer = self.commands.iter().rev().take_while(|(at, _)| *at > base);
-        let mut overlapping = newer.filter(|(_, other)| intent_scope::overlap(intent, other));
+        let newer = self.commands.iter().rev().take_while(|command| command.at > base);
+        let mut overlapping = newer.filter(|other| intent_scope::overlap(intent, &other.intent));
         match overlapping.next() {
             None => CommandOrder::Newest,
-            Some((_, other)) if is_same(intent, other) => CommandOrder::Repeated,
+            Some(other) if !other.is_refused && is_same(intent, &other.intent) => {
+                CommandOrder::Repeated
+            }
             Some(_) => CommandOrder::Superseded,
         }
     }
--- a/crates/cherrystream-core/tests/late_intents.rs
+++ b/crates/cherrystream-core/tests/late_intents.rs
@@ -123,6 +123,17 @@
     assert!(matches!(outcome, IntentOutcome::Refused(Error::Busy { .. })), "{outcome:?}");
 }
 
+/// Guards against a roll-out that starts after its operator was told that it cannot.
+#[test]
+fn a_refused_start_of_a_roll_out_supersedes_an_earlier_try() {
+    let mut log = Log::with_service();
+    log.apply(&start("v2"), log.state.command_base());
+    let base = log.state.command_base();
+    let refused = log.apply(&start("v3"), base);
+    assert!(matches!(refused, IntentOutcome::Refused(Error::Busy { .. })), "{refused:?}");
+    assert_eq!(log.apply(&start("v3"), base), IntentOutcome::Superseded);
+}
+
 /// Guards against a restored replica that applies a command which the others discard.
 #[test]
 fn a_command_is_superseded_after_a_snapshot_as_well() {
@@ -173,3 +184,15 @@
     let sent_again = log.commit(confirm(base));
     assert!(matches!(sent_again, Applied::Confirmed(Ok(_))), "{sent_again:?}");
 }
+
+/// Guards against an acknowledgement of a command that was refused to another operator.
+#[test]
+fn a_command_is_not_taken_for_the_same_one_that_was_refused() {
+    let mut log = Log::default();
+    let base = log.state.command_base();
+    let start = Intent::Evacuate { failure_domain: "a".into() };
+    log.commit(Command::NoteRefusal { intent: start.clone() });
+    assert_eq!(log.apply(&start, base), IntentOutcome::Superseded);
+    assert!(matches!(log.apply(&start, log.state.command_base()), IntentOutcome::InForce(_)));
+    assert_eq!(log.state.shared().config.failure_domains_out, ["a"]);
+}
--- a/crates/cherrystream-net/src/serve.rs
+++ b/crates/cherrystream-net/src/serve.rs
@@ -40,8 +40,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ClientAddress(pub SocketAddr);
 
-/// Time for which a connection carried nothing before a request, an extension of the request. The
-/// request cannot have been sent longer ago.
+/// Time since the last response on a connection, or since it was accepted, an extension of its
+/// requests. A request that is not pipelined was sent after that.
 #[derive(Clone, Copy, Debug)]
 pub struct IdleTime(pub Duration);
 
