Soak: late tries of commands whose connections end a little later

Now tries are 0.6 to 1.6 s late, and their connections end up to 3 ms after the last byte, as when a link delivers what it held.

--- a/crates/cherrystream/tests/soak/evacuations.rs
+++ b/crates/cherrystream/tests/soak/evacuations.rs
@@ -8,6 +8,7 @@
 use cherrystream_schema::messages::ConfigReply;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -24,8 +25,10 @@
 const PAUSE: Duration = Duration::from_millis(60);
 /// Probability that a try is delivered late, when its sender has left.
 const LATE_PROBABILITY: f64 = 0.4;
-/// Longest delay of such a try, in milliseconds.
-const MAX_DELAY_MS: u64 = 1_500;
+/// Delay of such a try in milliseconds: longer than the patience that control assumes of a caller.
+const DELAY_MS: Range<u64> = 600..1_600;
+/// Time in milliseconds from its last byte to the end of its connection.
+const CLOSE_DELAY_MS: Range<u64> = 0..4;
 /// Probability that the operator gives up a command without a clear answer.
 const GIVE_UP_PROBABILITY: f64 = 0.3;
 
@@ -78,8 +81,9 @@
         for _ in 0..MAX_TRIES {
             let api = self.api();
             if self.rng.random_bool(LATE_PROBABILITY) {
-                let delay = Duration::from_millis(self.rng.random_range(0..MAX_DELAY_MS));
-                self.late.spawn(deliver_late(api, path.clone(), delay));
+                let delay = Duration::from_millis(self.rng.random_range(DELAY_MS));
+                let close_delay = Duration::from_millis(self.rng.random_range(CLOSE_DELAY_MS));
+                self.late.spawn(deliver_late(api, path.clone(), delay, close_delay));
                 self.observed.late += 1;
                 continue;
             }
@@ -115,12 +119,13 @@
     }
 }
 
-/// Delivers a command together with the end of its connection, as a link that held both does.
-async fn deliver_late(api: String, path: String, delay: Duration) {
+/// Delivers a command and then the end of its connection, as a link that held both does.
+async fn deliver_late(api: String, path: String, delay: Duration, close_delay: Duration) {
     let Ok(mut stream) = TcpStream::connect(&api).await else { return };
     tokio::time::sleep(delay).await;
     let head = format!("POST {path} HTTP/1.1\r\nhost: control\r\ncontent-length: 0\r\n\r\n");
     let _ = stream.write_all(head.as_bytes()).await;
+    tokio::time::sleep(close_delay).await;
 }
 
 /// Returns whether the failure domain is evacuated; `None` if the replica gives no definite answer.
