--- a/review/harness-2/src/backend.rs
+++ b/review/harness-2/src/backend.rs
@@ -10,9 +10,6 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Time between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(1_500);
-
 /// Shares of requests and answers that a faulty backend server spoils.
 #[derive(Clone, Copy, Default)]
 pub struct Troubles {
@@ -67,6 +64,8 @@
     pub slots: usize,
     pub work: Duration,
     pub tells_born: bool,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
     pub seed: u64,
 }
 
@@ -100,10 +99,10 @@
                 thread::spawn(move || server.serve(stream));
             }
         });
-        let reporter = backend.clone();
+        let (reporter, heartbeat) = (backend.clone(), opts.heartbeat);
         thread::spawn(move || loop {
             reporter.report();
-            thread::sleep(HEARTBEAT);
+            thread::sleep(heartbeat);
         });
         Ok(backend)
     }
@@ -246,3 +245,14 @@
     let sent = http::call(to, "POST", path, &headers, body.as_bytes(), Duration::from_secs(1));
     sent.ok().map(|answer| answer.status)
 }
+
+/// Delivers a report whose sender has gone: the bytes arrive, and with them the end of the connection.
+pub fn deliver_report(to: &str, path: &str, body: &str) -> std::io::Result<()> {
+    let mut stream = http::connect(to, Duration::from_secs(1))?;
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes())
+}
--- a/review/harness-2/src/case_beat.rs
+++ b/review/harness-2/src/case_beat.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const FIRST: &str = r#""r-first":{"host":"desk.example","path_prefix":"/quote/","route_type":"safe","timeout_s":2,"target_latency_s":0.8,"priority":2,"service":"quote-desk","max_attempts":2}"#;
 const ADDED: &str = r#""r-added":{"host":"desk.example","path_prefix":"/sanctions/","route_type":"safe","timeout_s":0.8,"target_latency_s":0.2,"priority":1,"service":"payout-engine","max_attempts":2}"#;
@@ -54,10 +54,10 @@
 pub fn run(record: Arc<Record>, troubled: bool, beat: Beat) -> Outcome {
     let bounds = Bounds { drain_s: 3.0, config_apply_s: 3.0, budget_extra: 1040 };
     let site = Site::start(record.clone(), &["quote-desk", "payout-engine"], bounds)?;
-    let tells_born = beat == Beat::OtherWriter;
     // The earlier run listens at the same address for a second and crashes before its second
     // heartbeat; the first one is held up on its way for 5 s.
     let earlier_started = Instant::now();
+    let earlier_born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
     let earlier = match beat {
         Beat::EarlierRun => Some(run_and_crash(&site.sides[1].backend(), &record)?),
         Beat::OtherWriter => None,
@@ -76,7 +76,8 @@
                 reports_to: side.reports(),
                 slots: 9,
                 work: Duration::from_millis(40),
-                tells_born,
+                tells_born: true,
+                heartbeat: Duration::from_millis(3_000),
                 seed: 11,
             },
             record.clone(),
@@ -114,14 +115,21 @@
                 format!(
                     "{{\"service\":\"payout-engine\",\"address\":\"{}\",\"zone\":\"zone-1\",\
                      \"version\":\"v1\",\"slots\":9,\"state\":\"ready\",\"warmup_left_s\":3,\
-                     \"seq\":1}}",
+                     \"seq\":1,\"born\":{earlier_born}}}",
                     side.backend()
                 ),
             ),
         };
         let path = format!("/-/rpc?call=instances.heartbeat&of={id}");
-        let status = backend::send_report(&side.reports(), &path, &body);
-        record.line(&format!("heartbeat of {id} arrives: {body}; answered {status:?}"));
+        let outcome = match beat {
+            Beat::OtherWriter => {
+                format!("answered {:?}", backend::send_report(&side.reports(), &path, &body))
+            }
+            Beat::EarlierRun => {
+                format!("{:?}", backend::deliver_report(&side.reports(), &path, &body))
+            }
+        };
+        record.line(&format!("heartbeat of {id} arrives: {body}; {outcome}"));
     }
     thread::sleep(CONTACT);
     site.replace_config(
--- a/review/harness-2/src/case_extra.rs
+++ b/review/harness-2/src/case_extra.rs
@@ -37,6 +37,7 @@
                 slots: 12,
                 work: Duration::from_millis(60),
                 tells_born: false,
+                heartbeat: Duration::from_millis(1_500),
                 seed: 7,
             },
             record.clone(),
--- a/review/harness-2/src/case_framing.rs
+++ b/review/harness-2/src/case_framing.rs
@@ -45,6 +45,7 @@
                 slots: 12,
                 work: Duration::from_millis(30),
                 tells_born: false,
+                heartbeat: Duration::from_millis(1_500),
                 seed: 3,
             },
             record.clone(),
