Net: the length of an answer is decided in one place

Cause: the HTTP client reads the chunks and keeps Content-Length in the head; the daemon removes Transfer-Encoding and forwards the rest, so the head and the body disagree. The filter for late answers had a third idea of the length.

net::framing now derives the length of a body from its head for all of them. A head that states it in two ways, or has a coding other than chunks, closes the connection, and the request fails as malformed-answer (502, outcome unknown). Equal lengths are reduced to one.

Evidence: processes odd_answers::an_answer_whose_length_is_ambiguous_is_ never_passed_on and its twin for the platform failed before for all answers with both lengths and for compressed ones, and pass now. The first run of the own-interface test on this code failed once, output not kept; 14 further runs passed, eight of them at once.

--- a/crates/cherrystream-core/src/reasons.rs
+++ b/crates/cherrystream-core/src/reasons.rs
@@ -163,6 +163,8 @@
     PeerSilent = "peer-silent", Unknown, 502, false;
     /// The daemon of this host ended before the backend server answered.
     HostEnded = "host-ended", Unknown, 502, false;
+    /// The length of the answer of the backend server is ambiguous, or its status is invalid.
+    MalformedAnswer = "malformed-answer", Unknown, 502, false;
     /// The answer carries the identifier of another call.
     WrongCall = "wrong-call", Unknown, 502, false;
 }
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -122,6 +122,10 @@
                 at_work.connection_broken();
                 return Err(self.refuse(Reason::BackendServerBroke));
             }
+            Ok(Err(NoAnswer::Malformed)) => {
+                at_work.discard();
+                return Err(self.refuse(Reason::MalformedAnswer));
+            }
             Err(_) => {
                 permit.timed_out();
                 return Err(self.refuse(Reason::DeadlinePassed));
--- a/crates/cherrystream-daemon/src/refusal.rs
+++ b/crates/cherrystream-daemon/src/refusal.rs
@@ -85,6 +85,7 @@
         | Reason::PeerBroke
         | Reason::PeerSilent
         | Reason::HostEnded
+        | Reason::MalformedAnswer
         | Reason::WrongCall
         | Reason::AttemptRepeated => {
             "it may have run; send it again only if it may be repeated, or with the same key"
--- a/crates/cherrystream-net/src/late_answers.rs
+++ b/crates/cherrystream-net/src/late_answers.rs
@@ -4,8 +4,9 @@
 //! the response to the next one. The next request is in execution and must not fail because of such
 //! a response.
 
+use crate::framing::{self, BodyLength};
 use bytes::{Buf, BytesMut};
-use http::{HeaderName, HeaderValue, Request, StatusCode, header};
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use parking_lot::Mutex;
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -23,12 +24,18 @@
 /// Size of the read buffer while a response head is inspected.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
-/// Identifiers of the requests of one connection.
+/// A request that was sent on a connection.
+struct SentRequest {
+    id: HeaderValue,
+    method: Method,
+}
+
+/// Requests of one connection.
 pub(crate) struct Exchanges {
     /// Header that carries the identifier in a request and its response, if configured.
     id: Option<HeaderName>,
-    current: Option<HeaderValue>,
-    earlier: VecDeque<HeaderValue>,
+    current: Option<SentRequest>,
+    earlier: VecDeque<SentRequest>,
     /// Whether the current response has not begun and a late one may precede it.
     may_be_late: bool,
 }
@@ -44,9 +51,10 @@
     pub(crate) fn begin<B>(&mut self, req: &Request<B>) {
         let Some(id) = &self.id else { return };
         let next = req.headers().get(id).cloned();
+        let next = next.map(|id| SentRequest { id, method: req.method().clone() });
         self.earlier.extend(self.current.take());
         // Both responses to a request that is sent again are valid.
-        self.earlier.retain(|earlier| Some(earlier) != next.as_ref());
+        self.earlier.retain(|earlier| next.as_ref().is_none_or(|next| earlier.id != next.id));
         let excess = self.earlier.len().saturating_sub(MAX_EARLIER_REQUESTS);
         self.earlier.drain(..excess);
         self.current = next;
@@ -58,9 +66,9 @@
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
         match head.parse(bytes) {
-            Ok(httparse::Status::Complete(len)) => match self.is_late(&head) {
-                true => late(len, body_len(&head)),
-                false => ResponseClass::Current,
+            Ok(httparse::Status::Complete(len)) => match self.late_response_to(&head) {
+                Some(req) => late(len, body_len(req, &head)),
+                None => ResponseClass::Current,
             },
             Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => {
                 ResponseClass::Incomplete
@@ -70,9 +78,10 @@
         }
     }
 
-    fn is_late(&self, head: &httparse::Response<'_, '_>) -> bool {
-        let id = self.id.as_ref().and_then(|id| value(head, id));
-        id.is_some_and(|id| self.earlier.iter().any(|earlier| earlier.as_bytes() == id))
+    /// Returns the earlier request that a response belongs to.
+    fn late_response_to(&self, head: &httparse::Response<'_, '_>) -> Option<&SentRequest> {
+        let id = self.id.as_ref().and_then(|id| value(head, id))?;
+        self.earlier.iter().find(|earlier| earlier.id.as_bytes() == id)
     }
 }
 
@@ -94,15 +103,13 @@
 }
 
 /// Returns the length of a response body, or `None` if the head does not state it.
-fn body_len(head: &httparse::Response<'_, '_>) -> Option<usize> {
-    let code = StatusCode::from_u16(head.code?).ok()?;
-    if matches!(code, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
-        return Some(0);
-    }
-    if value(head, &header::TRANSFER_ENCODING).is_some() {
-        return None;
+fn body_len(req: &SentRequest, head: &httparse::Response<'_, '_>) -> Option<usize> {
+    let status = StatusCode::from_u16(head.code?).ok()?;
+    match framing::body_length(&req.method, status, &*head.headers).ok()? {
+        BodyLength::Absent => Some(0),
+        BodyLength::Exact(length) => length.try_into().ok(),
+        BodyLength::Chunked | BodyLength::UntilClose => None,
     }
-    std::str::from_utf8(value(head, &header::CONTENT_LENGTH)?).ok()?.trim().parse().ok()
 }
 
 fn value<'a>(head: &httparse::Response<'_, 'a>, name: &HeaderName) -> Option<&'a [u8]> {
--- a/crates/cherrystream-net/src/lib.rs
+++ b/crates/cherrystream-net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection_metrics;
 pub mod errors;
 mod fair;
+pub mod framing;
 pub mod interface;
 pub mod key;
 mod late_answers;
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -4,11 +4,12 @@
 use crate::activity::{Activity, Observed};
 use crate::body::{self, Body, Ending, Watched};
 use crate::clock::Clock;
+use crate::framing;
 use crate::late_answers::{Exchanges, Filtered};
 use crate::overhead::{Limited, Overhead};
 use cherrystream_core::silent_connections::{Evidence, FreshAnswer};
 use cherrystream_core::units::Timestamp;
-use http::{HeaderMap, HeaderName, Request, Response};
+use http::{HeaderMap, HeaderName, Method, Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -36,6 +37,8 @@
     NotSent,
     /// The request was sent at least in part.
     Broke,
+    /// The request was sent, and its response is malformed; see [`framing::MalformedHead`].
+    Malformed,
 }
 
 /// Result of opening a connection without sending anything.
@@ -248,11 +251,12 @@
         mut connection: Connection,
         mut req: Request<Body>,
     ) -> Result<Response<Body>, NoAnswer> {
+        let method = req.method().clone();
         for _ in 0..MAX_SEND_ATTEMPTS {
             connection.exchanges.lock().begin(&req);
             connection.overhead.reset();
             match connection.sender.try_send_request(req).await {
-                Ok(res) => return Ok(connection.watch(res)),
+                Ok(res) => return self.check(&method, res).map(|res| connection.watch(res)),
                 Err(mut e) => match e.take_message() {
                     // The connection was closed before the request was sent.
                     Some(unsent) => req = unsent,
@@ -264,6 +268,18 @@
         Err(NoAnswer::NotSent)
     }
 
+    /// Checks the head of a response.
+    fn check<B>(&self, method: &Method, mut res: Response<B>) -> Result<Response<B>, NoAnswer> {
+        let status = res.status();
+        match framing::normalize(method, status, res.headers_mut()) {
+            Ok(()) => Ok(res),
+            Err(e) => {
+                log::debug!("pool: malformed response from {}: {e}", self.address);
+                Err(NoAnswer::Malformed)
+            }
+        }
+    }
+
     /// Takes a usable connection that was opened before a time out of the pool, after closing expired
     /// ones.
     fn take_idle(&self, opened_before: Timestamp) -> Option<Idle> {
--- a/crates/cherrystream/tests/processes/odd_answers/answers.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/answers.rs
@@ -1,4 +1,4 @@
-//! Answers that break off or have no end.
+//! Answers that break off, have no end, or are malformed.
 
 /// More than the daemon reads before it passes an answer on.
 const LONG: usize = 128 * 1024;
@@ -102,3 +102,25 @@
         odd("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", Rest::Silence),
     ]
 }
+
+/// Returns answers with heads from which two readers may derive different lengths, or whose body is
+/// encoded in a way that callers have not asked for.
+pub fn ambiguous() -> Vec<Odd> {
+    let chunks = "4\r\nabcd\r\n0\r\n\r\n";
+    let short = [
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Content-Length: 40\r\nTransfer-Encoding: chunked",
+        "Content-Length: 2\r\nTransfer-Encoding: identity",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Content-Length: 2\r\nContent-Length: 4",
+        "Content-Length: 2, 4",
+        "Content-Length: +2",
+    ];
+    let short =
+        short.map(|head| odd(&format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n{chunks}"), Rest::Silence));
+    let head = "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n";
+    short.into_iter().chain([long(head, true, Rest::Silence)]).collect()
+}
--- a/crates/cherrystream/tests/processes/odd_answers/mod.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/mod.rs
@@ -2,6 +2,7 @@
 //! both interfaces.
 
 mod answers;
+mod raw;
 mod server;
 
 use super::orders;
@@ -19,6 +20,8 @@
 const SERVICE: &str = "quotes";
 /// Host name of the routes.
 const HOST: &str = "quotes.test";
+/// Status of a request whose answer is malformed.
+const BAD_GATEWAY: u16 = 502;
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_millis(1_500);
 /// Longest time beyond the deadline until a request has ended.
@@ -212,6 +215,30 @@
         closed.is_err().then(|| "the daemon goes on reading".into())
     }
 
+    /// Returns what callers receive in place of a failure when the answer is malformed, by daemon and
+    /// request.
+    async fn check_failed(&self, odd: &Odd) -> Vec<String> {
+        self.server.answer.send_replace(Some(odd.clone()));
+        let mut wrong = Vec::new();
+        for (daemon, place) in [(&self.near, "near"), (&self.far, "far")] {
+            for repeat in [Repeat::Allowed, Repeat::Forbidden] {
+                assert!(self.is_served(daemon).await, "other requests are not served");
+                let ask = self.interface.odd(repeat);
+                let end = raw::status(&daemon.caller, &ask).await;
+                if end != Ok(BAD_GATEWAY) {
+                    let begin = String::from_utf8_lossy(&odd.begin[..odd.begin.len().min(90)]);
+                    wrong.push(format!("{place} {repeat:?} {begin:?}: {end:?}"));
+                }
+                let mut open = self.server.open.subscribe();
+                let closed = tokio::time::timeout(END_TIMEOUT, open.wait_for(|n| *n == 0)).await;
+                if closed.is_err() {
+                    wrong.push(format!("{place} {repeat:?}: the connection is used further"));
+                }
+            }
+        }
+        wrong
+    }
+
     /// Returns whether an ordinary request is served soon. A server that fails is avoided for a
     /// while.
     async fn is_served(&self, daemon: &Daemon) -> bool {
@@ -232,6 +259,15 @@
     assert!(wrong.is_empty(), "{interface:?}: {wrong:#?}");
 }
 
+async fn assert_fails(interface: Interface, answers: Vec<Odd>) {
+    let fleet = Fleet::start(interface).await;
+    let mut wrong = Vec::new();
+    for odd in &answers {
+        wrong.extend(fleet.check_failed(odd).await);
+    }
+    assert!(wrong.is_empty(), "{interface:?}: {wrong:#?}");
+}
+
 /// Guards against answers that break off and are passed on as whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_is_cut_is_never_passed_on_as_whole() {
@@ -244,6 +280,20 @@
     assert_ends(Interface::Platform, answers::cut()).await;
 }
 
+/// Guards against answers of which callers take a part for the whole and the rest for their next
+/// answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_length_is_ambiguous_is_never_passed_on() {
+    assert_fails(Interface::Own, answers::ambiguous()).await;
+}
+
+/// Guards against answers of which callers take a part for the whole and the rest for their next
+/// answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_length_is_ambiguous_is_never_passed_on_on_the_platform() {
+    assert_fails(Interface::Platform, answers::ambiguous()).await;
+}
+
 /// Guards against daemons that are kept busy, and requests that hang past their deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_that_are_no_answer_end_the_request() {
--- a/crates/cherrystream/tests/soak/callers.rs
+++ b/crates/cherrystream/tests/soak/callers.rs
@@ -61,6 +61,8 @@
     NotSent,
     /// The connection closed before the answer was complete.
     ConnectionLost,
+    /// The answer is malformed.
+    Malformed,
     /// No answer arrived in time.
     Timeout,
 }
@@ -148,6 +150,7 @@
         Ok(res) => res,
         Err(NoAnswer::NotSent) => return End::NotSent,
         Err(NoAnswer::Broke) => return End::ConnectionLost,
+        Err(NoAnswer::Malformed) => return End::Malformed,
     };
     let (parts, body) = res.into_parts();
     match body::read_start(body, MAX_ANSWER_BYTES).await {
@@ -165,13 +168,18 @@
             End::Answer(answer) => answer.outcome(),
             End::NotSent => "not sent",
             End::ConnectionLost => "connection lost",
+            End::Malformed => "malformed",
             End::Timeout => "timeout",
         }
     }
 
     /// Returns a violation by the answer itself, if there is one.
     pub fn answer_violation(&self) -> Option<String> {
-        let End::Answer(answer) = &self.end else { return None };
+        let answer = match &self.end {
+            End::Answer(answer) => answer,
+            End::Malformed => return Some("a malformed answer".into()),
+            End::NotSent | End::ConnectionLost | End::Timeout => return None,
+        };
         if !self.end.is_by_server() || !answer.status.is_success() {
             return None;
         }
--- a/crates/cherrystream/tests/soak/silences.rs
+++ b/crates/cherrystream/tests/soak/silences.rs
@@ -102,7 +102,7 @@
 fn reason(record: &CallRecord) -> &str {
     match &record.end {
         End::Answer(answer) => answer.reason(),
-        End::NotSent | End::ConnectionLost | End::Timeout => "",
+        End::NotSent | End::ConnectionLost | End::Malformed | End::Timeout => "",
     }
 }
 
