--- a/crates/cherrystream-daemon/src/own_interface.rs
+++ b/crates/cherrystream-daemon/src/own_interface.rs
@@ -19,6 +19,8 @@
 const INSTANCES_PATH: &str = "/v1/instances/";
 /// Authentication scheme in front of an API key.
 const KEY_PREFIX: &str = "Bearer ";
+/// Remedy for an invalid report of an instance.
+const REPORT_REMEDY: &str = "send id, service, address, slots, state and sequence";
 /// Path of the readiness probe.
 const READINESS_PATH: &str = "/readyz";
 
@@ -120,11 +122,17 @@
             kind: ReportErrorKind::Unreadable,
             fault: Fault {
                 what: format!("the report cannot be read: {e}"),
-                remedy: "send id, service, address, slots, state and sequence".into(),
+                remedy: REPORT_REMEDY.into(),
             },
         })?;
+        let cold_for = read_cold_time(&head.headers);
+        if cold_for.is_none() && head.headers.contains_key(headers::COLD_MS) {
+            let what = format!("{} is not a number of milliseconds", headers::COLD_MS);
+            let fault = Fault { what, remedy: REPORT_REMEDY.into() };
+            return Err(ReportError { kind: ReportErrorKind::FieldMistyped, fault });
+        }
         let report = InstanceReport::Running(Instance { id: id.into(), ..instance });
-        Ok(Reported { report, cold_for: read_cold_time(&head.headers) })
+        Reported { report, cold_for }.validate(REPORT_REMEDY)
     }
 
     fn write_report_answer(&self, answer: &ReportAnswer) -> Response<Body> {
--- a/crates/cherrystream-net/src/interface.rs
+++ b/crates/cherrystream-net/src/interface.rs
@@ -71,6 +71,31 @@
     pub cold_for: Option<Duration>,
 }
 
+impl Reported {
+    /// Checks the values that every interface decodes alike.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the identifier is empty, the address is not `HOST:PORT`, or there are no slots.
+    pub fn validate(self, remedy: &str) -> Result<Reported, ReportError> {
+        let what = match &self.report {
+            InstanceReport::Running(i) if i.id.is_empty() => "the id is empty".into(),
+            InstanceReport::Running(i) if !is_address(&i.address) => {
+                format!("the address {:?} is not HOST:PORT", i.address)
+            }
+            InstanceReport::Running(i) if i.slots == 0 => "slots is 0".into(),
+            InstanceReport::Running(_) | InstanceReport::Stopping { .. } => return Ok(self),
+        };
+        let fault = Fault { what, remedy: remedy.into() };
+        Err(ReportError { kind: ReportErrorKind::FieldMistyped, fault })
+    }
+}
+
+fn is_address(address: &str) -> bool {
+    let parts = address.rsplit_once(':');
+    parts.is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok())
+}
+
 impl From<InstanceReport> for Reported {
     fn from(report: InstanceReport) -> Reported {
         Reported { report, cold_for: None }
