Core: a report of an earlier start does not replace a running instance

Cause: starts were compared only under the same identifier. Any other identifier counted as a newer instance.

Now another identifier replaces the known instance only if that is down or has started earlier; one without a start does not replace one that has it. The daemon also compares with a registration in progress, and rejects the report with the reason. The same start keeps its service and address.

--- a/crates/cherrystream-core/src/instances.rs
+++ b/crates/cherrystream-core/src/instances.rs
@@ -6,8 +6,9 @@
 //! acknowledged only once it is in the replicated log, and [`register`] never reverts a state.
 //!
 //! An instance that restarts under the same identifier reports a later start time and shares no
-//! state with the earlier one. Start times are compared only with each other, never with a local
-//! clock.
+//! state with the earlier one. One with another identifier replaces a running instance only if it
+//! started later, since a report may arrive long after its sender has crashed and a successor has
+//! registered. Start times are compared only with each other, never with a local clock.
 
 use cherrystream_schema::messages::{Instance, InstanceRecord, ServerState};
 use std::cmp::Ordering;
@@ -39,6 +40,8 @@
     AwaitRegistration,
     /// Not acknowledged, since the registered instance is not yet known.
     NotReady,
+    /// Rejected, since the running instance with this identifier has started later.
+    StartedEarlier(String),
 }
 
 /// Returns the position of a state in the life cycle of an instance.
@@ -62,10 +65,11 @@
     };
     if known.retired.contains(&report.id) {
         let stopped = known.retired_born_ms.get(&report.id).copied().unwrap_or_default();
-        return (report.born_ms > stopped).then(|| replace(known, report));
+        let is_restart = report.born_ms > stopped && may_replace(&known.instance, report);
+        return is_restart.then(|| replace(known, report));
     }
     if known.instance.id != report.id {
-        return Some(replace(known, report));
+        return may_replace(&known.instance, report).then(|| replace(known, report));
     }
     match report.born_ms.cmp(&known.instance.born_ms) {
         // A late report of an earlier instance.
@@ -76,17 +80,33 @@
     }
 }
 
+/// Returns whether an instance with another identifier takes the place of the known one: that has
+/// stopped, or it started earlier. If neither reports a start time, the later report counts. One
+/// without a start time does not replace one that reports it.
+fn may_replace(known: &Instance, report: &Instance) -> bool {
+    let starts = (known.born_ms, report.born_ms);
+    known.state == ServerState::Down || report.born_ms > known.born_ms || starts == (0, 0)
+}
+
 /// Returns the record after a further report of the registered instance.
 fn update(known: &InstanceRecord, report: &Instance) -> Option<InstanceRecord> {
     // A later state takes precedence over the sequence, as an instance never reverts a state.
     let (reported, registered) = (progress(report.state), progress(known.instance.state));
     let older = reported == registered && report.sequence < known.instance.sequence;
-    if reported < registered || older || *report == known.instance {
+    if reported < registered || older || *report == known.instance || has_moved(known, report) {
         return None;
     }
     Some(InstanceRecord { instance: report.clone(), ..known.clone() })
 }
 
+/// Returns whether a report names another service or address for the same start of an instance,
+/// which does not change while the instance runs.
+fn has_moved(known: &InstanceRecord, report: &Instance) -> bool {
+    let is_same =
+        known.instance.service == report.service && known.instance.address == report.address;
+    report.born_ms > 0 && !is_same
+}
+
 /// Replaces the registered instance by one with another identifier.
 fn replace(known: &InstanceRecord, report: &Instance) -> InstanceRecord {
     let stopped = &known.instance;
@@ -168,6 +188,9 @@
         if self.stopped.iter().any(|key| key.is_same_or_later(&instance)) {
             return ReportOutcome::Acknowledge;
         }
+        if let Some(running) = self.successor_of(&instance) {
+            return ReportOutcome::StartedEarlier(running.id.clone());
+        }
         // The last report takes precedence, even if it is not yet registered.
         if let Some(pending) = self.pending.as_ref().filter(|pending| pending.id == instance.id) {
             match instance.born_ms.cmp(&pending.born_ms) {
@@ -198,6 +221,14 @@
         }
     }
 
+    /// Returns the known instance with another identifier that a report must not replace. A retired
+    /// instance may still send reports, which are acknowledged.
+    fn successor_of(&self, report: &Instance) -> Option<&Instance> {
+        let is_retired = self.registered.as_ref().is_some_and(|r| r.retired.contains(&report.id));
+        let other = self.current().filter(|known| known.id != report.id && !is_retired);
+        other.filter(|known| !may_replace(known, report))
+    }
+
     fn on_stopping(&mut self, id: String, born_ms: Option<u64>) -> ReportOutcome {
         let pending = self.pending.as_ref().filter(|pending| pending.id == id);
         let registered = self.registered.as_ref().map(|r| &r.instance).filter(|i| i.id == id);
--- a/crates/cherrystream-daemon/src/instances.rs
+++ b/crates/cherrystream-daemon/src/instances.rs
@@ -166,6 +166,7 @@
             ReportOutcome::Acknowledge => ReportAnswer::Taken,
             ReportOutcome::NotReady => ReportAnswer::NotNow,
             ReportOutcome::AwaitRegistration => self.await_registration().await,
+            ReportOutcome::StartedEarlier(running) => self.reject(started_earlier(&running)),
         }
     }
 
@@ -227,3 +228,13 @@
         self.changes.send_modify(|count| *count += 1);
     }
 }
+
+/// Returns the error for a report of an instance that must not replace the running one.
+fn started_earlier(running: &str) -> ReportError {
+    let fault = Fault {
+        what: format!("the running instance {running:?} has started later than the reported one"),
+        remedy: "if the reported instance runs, correct the clock of its host and restart it"
+            .into(),
+    };
+    ReportError { kind: ReportErrorKind::StartedEarlier, fault }
+}
--- a/crates/cherrystream-net/src/interface.rs
+++ b/crates/cherrystream-net/src/interface.rs
@@ -146,6 +146,8 @@
     UnknownState,
     /// The service is not configured.
     UnknownService,
+    /// The running instance has started later.
+    StartedEarlier,
 }
 
 impl ReportErrorKind {
@@ -158,6 +160,7 @@
             ReportErrorKind::FieldMistyped => "field-mistyped",
             ReportErrorKind::UnknownState => "unknown-state",
             ReportErrorKind::UnknownService => "unknown-service",
+            ReportErrorKind::StartedEarlier => "started-earlier",
         }
     }
 }
