Net: a connection carries no request identifier twice

A caller got 503, which promises that its request has not run, while the request was running; or the request ran twice.

Cause: answers are matched by the identifier of the call, the same for all attempts. The filter for late answers forgot an earlier identifier when it was sent again on the connection.

Now the pool gives out, or opens, a connection on which the identifier was not sent, so a second answer with it is always a late one. A connection is replaced after 1,000 requests, which bounds what it has to remember. A rejection without an identifier proves something only on a connection that carried nothing else.

--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -6,7 +6,6 @@
 use crate::metrics::ServerLabel;
 use crate::refusal::Refused;
 use crate::suspects::{InFlightRequest, IsolationPermit};
-use cherrystream_core::deadline::Deadline;
 use cherrystream_core::health::Check;
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::units::Timestamp;
@@ -29,6 +28,8 @@
     /// Identifier of the call.
     call: String,
     at: Timestamp,
+    /// Whether the connection carried other requests before.
+    is_reused: bool,
     permit: Permit,
     at_work: InFlightRequest,
 }
@@ -78,7 +79,8 @@
         place: Option<IsolationPermit>,
         call: InboundCall,
     ) -> Result<Response<Body>, Refused> {
-        let connection = self.connect(server, call.deadline).await?;
+        let connection = self.connect(server, &call).await?;
+        let is_reused = connection.is_reused();
         // The request may have become a suspect while it waited.
         let place = match place {
             Some(place) => Some(place),
@@ -131,7 +133,7 @@
                 return Err(self.refuse(Reason::DeadlinePassed));
             }
         };
-        let sent = Sent { call: call.call, at: sent_at, permit, at_work };
+        let sent = Sent { call: call.call, at: sent_at, is_reused, permit, at_work };
         let res = self.check_answer(server, res, sent);
         if !call.is_resendable || res.is_err() {
             awaited.has_ended = true;
@@ -154,10 +156,10 @@
     async fn connect(
         &self,
         server: &Arc<LocalServer>,
-        deadline: Deadline,
+        call: &InboundCall,
     ) -> Result<Connection, Refused> {
-        let remaining = deadline.remaining(self.clock.now()).unwrap_or(Duration::ZERO);
-        match tokio::time::timeout(remaining, server.backend.connection()).await {
+        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or(Duration::ZERO);
+        match tokio::time::timeout(remaining, server.backend.connection_for(&call.call)).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(_)) => {
                 server.on_check(Check::Failed);
@@ -176,6 +178,18 @@
         self.local_servers.on_signals(server, sent_at, &self.interface.read_signals(head));
     }
 
+    /// Reads whether the request was executed. An answer without an identifier proves nothing on a
+    /// connection that carried other requests: it may be a late one to any of them.
+    fn read_execution(&self, head: &response::Parts, call: &str, is_reused: bool) -> Execution {
+        let is_identified = head.headers.contains_key(self.interface.id_header());
+        match self.interface.read_execution(head, call) {
+            Execution::NotRun | Execution::OtherInstance if is_reused && !is_identified => {
+                Execution::WrongRequest
+            }
+            execution => execution,
+        }
+    }
+
     /// Checks that the answer belongs to the call. Frees the slot at the end of the answer.
     fn check_answer(
         &self,
@@ -183,9 +197,9 @@
         res: Response<Body>,
         sent: Sent,
     ) -> Result<Response<Body>, Refused> {
-        let Sent { call, at, permit, at_work } = sent;
+        let Sent { call, at, is_reused, permit, at_work } = sent;
         let (mut parts, body) = res.into_parts();
-        match self.interface.read_execution(&parts, &call) {
+        match self.read_execution(&parts, &call, is_reused) {
             Execution::Ran => {}
             Execution::NotRun => {
                 self.read_state(server, at, &parts);
--- a/crates/cherrystream-net/src/late_answers.rs
+++ b/crates/cherrystream-net/src/late_answers.rs
@@ -3,12 +3,18 @@
 //! A backend server may send a second response to an earlier request while the connection awaits
 //! the response to the next one. The next request is in execution and must not fail because of such
 //! a response.
+//!
+//! A late response is recognized by its identifier, so no identifier is sent twice on a connection:
+//! nothing else would distinguish the late response to its first request from the response to its
+//! second one.
 
 use crate::framing::{self, BodyLength};
 use bytes::{Buf, BytesMut};
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use parking_lot::Mutex;
-use std::collections::VecDeque;
+use std::collections::hash_map::RandomState;
+use std::collections::{HashSet, VecDeque};
+use std::hash::BuildHasher;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -17,6 +23,8 @@
 
 /// Maximum number of earlier requests per connection whose late responses are recognized.
 const MAX_EARLIER_REQUESTS: usize = 8;
+/// Maximum number of requests per connection, which bounds the size of their identifiers.
+const MAX_REQUESTS: usize = 1_000;
 /// Maximum size of a response head that is inspected; close to the limit of hyper.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of headers of a response; the default of hyper.
@@ -36,6 +44,9 @@
     id: Option<HeaderName>,
     current: Option<SentRequest>,
     earlier: VecDeque<SentRequest>,
+    hasher: RandomState,
+    /// Hashes of the identifiers of all requests.
+    sent: HashSet<u64>,
     /// Whether the current response has not begun and a late one may precede it.
     may_be_late: bool,
 }
@@ -43,8 +54,31 @@
 impl Exchanges {
     /// Creates the state of a new connection.
     pub(crate) fn new(id: Option<HeaderName>) -> Arc<Mutex<Exchanges>> {
-        let earlier = VecDeque::new();
-        Arc::new(Mutex::new(Exchanges { id, current: None, earlier, may_be_late: false }))
+        Arc::new(Mutex::new(Exchanges {
+            id,
+            current: None,
+            earlier: VecDeque::new(),
+            hasher: RandomState::new(),
+            sent: HashSet::new(),
+            may_be_late: false,
+        }))
+    }
+
+    /// Returns whether a request with an identifier was sent on the connection. May return true for
+    /// another identifier with the same hash.
+    pub(crate) fn has_sent(&self, id: &[u8]) -> bool {
+        self.sent.contains(&self.hasher.hash_one(id))
+    }
+
+    /// Returns whether a request may be sent on the connection.
+    pub(crate) fn may_send<B>(&self, req: &Request<B>) -> bool {
+        let id = self.id.as_ref().and_then(|id| req.headers().get(id));
+        id.is_none_or(|id| !self.has_sent(id.as_bytes()))
+    }
+
+    /// Returns whether no further request may be sent on the connection.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.sent.len() >= MAX_REQUESTS
     }
 
     /// Records that a request is about to be sent.
@@ -53,8 +87,8 @@
         let next = req.headers().get(id).cloned();
         let next = next.map(|id| SentRequest { id, method: req.method().clone() });
         self.earlier.extend(self.current.take());
-        // Both responses to a request that is sent again are valid.
-        self.earlier.retain(|earlier| next.as_ref().is_none_or(|next| earlier.id != next.id));
+        let hash = next.as_ref().map(|next| self.hasher.hash_one(next.id.as_bytes()));
+        self.sent.extend(hash);
         let excess = self.earlier.len().saturating_sub(MAX_EARLIER_REQUESTS);
         self.earlier.drain(..excess);
         self.current = next;
--- a/crates/cherrystream-net/src/pool.rs
+++ b/crates/cherrystream-net/src/pool.rs
@@ -1,5 +1,5 @@
 //! Pool of HTTP/1.1 connections to one address. A connection returns to the pool only after a
-//! complete exchange.
+//! complete exchange, and carries no request identifier twice.
 
 use crate::activity::{Activity, Observed};
 use crate::body::{self, Body, Ending, Watched};
@@ -142,14 +142,28 @@
         }
     }
 
+    /// Returns an idle connection on which no request with an identifier was sent, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn connection_for(&self, id: &str) -> Result<Connection, NoAnswer> {
+        let is_usable = |idle: &Idle| !idle.exchanges.lock().has_sent(id.as_bytes());
+        match self.take_idle(is_usable) {
+            Some(idle) => Ok(self.reuse(idle)),
+            None => self.connect().await,
+        }
+    }
+
     /// Returns an idle connection, if there is one.
     pub fn idle_connection(&self) -> Option<Connection> {
-        self.take_idle(Timestamp(u64::MAX)).map(|idle| self.reuse(idle))
+        self.take_idle(|_| true).map(|idle| self.reuse(idle))
     }
 
     /// Returns an idle connection that was opened before a time, if there is one.
     pub fn idle_connection_opened_before(&self, time: Timestamp) -> Option<Connection> {
-        self.take_idle(time).map(|idle| self.reuse(idle))
+        let is_usable = |idle: &Idle| idle.activity.opened() < time;
+        self.take_idle(is_usable).map(|idle| self.reuse(idle))
     }
 
     fn reuse(&self, idle: Idle) -> Connection {
@@ -252,6 +266,9 @@
         mut req: Request<Body>,
     ) -> Result<Response<Body>, NoAnswer> {
         let method = req.method().clone();
+        if !connection.exchanges.lock().may_send(&req) {
+            connection = self.connect().await?;
+        }
         for _ in 0..MAX_SEND_ATTEMPTS {
             connection.exchanges.lock().begin(&req);
             connection.overhead.reset();
@@ -280,14 +297,12 @@
         }
     }
 
-    /// Takes a usable connection that was opened before a time out of the pool, after closing expired
-    /// ones.
-    fn take_idle(&self, opened_before: Timestamp) -> Option<Idle> {
+    /// Takes a usable connection out of the pool, after closing expired ones.
+    fn take_idle(&self, is_usable: impl Fn(&Idle) -> bool) -> Option<Idle> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         idle.retain(|i| !i.sender.is_closed() && now.since(i.since) < i.timeout);
-        let is_usable = |i: &Idle| i.sender.is_ready() && i.activity.opened() < opened_before;
-        let ready = idle.iter().rposition(is_usable)?;
+        let ready = idle.iter().rposition(|i| i.sender.is_ready() && is_usable(i))?;
         Some(idle.remove(ready))
     }
 }
@@ -321,8 +336,9 @@
         let timeout = idle_timeout(&parts.headers);
         let body = overhead.clone().watch(body::incoming(incoming));
         let body = Watched::watch(body, move |ending| {
+            let is_reusable = ending == Ending::Whole && !exchanges.lock().is_exhausted();
             let mut idle = idle.lock();
-            if ending == Ending::Whole && idle.len() < MAX_IDLE {
+            if is_reusable && idle.len() < MAX_IDLE {
                 let since = clock.now();
                 idle.push(Idle { sender, exchanges, overhead, activity, since, timeout });
             }
--- a/crates/cherrystream/tests/processes/odd_answers/mod.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod raw;
+mod rejections;
 mod server;
 
 use super::orders;
@@ -28,6 +29,8 @@
 const END_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time until another request is served after one with an odd answer.
 const SERVED_TIMEOUT: Duration = Duration::from_secs(6);
+/// Number of requests that are rejected, at each daemon.
+const REJECTED: usize = 20;
 /// Time between two reports of an instance.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -156,7 +159,12 @@
             timeout_s: 8,
             attempts: 2,
         };
-        let routes = [route("even", true), route("odd", true), route("odd-once", false)];
+        let routes = [
+            route("even", true),
+            route("odd", true),
+            route("odd-once", false),
+            route("rejected-once", false),
+        ];
         let replace = Ask::post(orders::REPLACE, orders::table(1, SERVICE, routes.into_iter()));
         let api = self.site.api(1);
         wait::until("the routes are accepted", || async {
@@ -329,3 +337,20 @@
 async fn a_request_whose_server_falls_silent_in_its_answer_frees_its_slot_on_the_platform() {
     assert_ends(Interface::Platform, answers::silent()).await;
 }
+
+/// Guards against a late copy of a rejection that is taken for the answer to the same request, which
+/// was sent again and is running.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_copy_of_a_rejection_proves_nothing_about_a_request_that_is_sent_again() {
+    let fleet = Fleet::start(Interface::Platform).await;
+    for (daemon, place) in [(&fleet.near, "near"), (&fleet.far, "far")] {
+        for n in 0..REJECTED {
+            let ask = Interface::Platform.complete(Ask::post("/rejected-once/x", ""));
+            let answer = daemon.call(&ask).await.expect("no answer");
+            let runs = fleet.server.rejections.take_runs();
+            let says_not_run = Interface::Platform.says_not_run(&answer);
+            assert!(runs <= 1, "{place} {n}: ran {runs} times");
+            assert!(runs == 0 || !says_not_run, "{place} {n}: {} while it runs", answer.status);
+        }
+    }
+}
--- a/crates/cherrystream/tests/processes/odd_answers/server.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/server.rs
@@ -1,6 +1,7 @@
 //! A server with odd answers.
 
 use super::answers::{Odd, Rest};
+use super::rejections::{Late, Rejections};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -19,6 +20,7 @@
     pub answer: watch::Sender<Option<Odd>>,
     /// Number of odd answers whose connection is open.
     pub open: Arc<watch::Sender<usize>>,
+    pub rejections: Arc<Rejections>,
 }
 
 /// Returns the header lines of an answer from the lines of the head of its request.
@@ -30,15 +32,20 @@
         let address = listener.local_addr().unwrap().to_string();
         let answer = watch::Sender::new(None);
         let open = Arc::new(watch::Sender::new(0));
-        let (rx, counter) = (answer.subscribe(), open.clone());
+        let rejections = Arc::<Rejections>::default();
+        let (rx, counter, rejecting) = (answer.subscribe(), open.clone(), rejections.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let connection =
-                    Connection { answer_head, answer: rx.clone(), open: counter.clone() };
+                let connection = Connection {
+                    answer_head,
+                    answer: rx.clone(),
+                    open: counter.clone(),
+                    rejections: rejecting.clone(),
+                };
                 tokio::spawn(connection.serve(BufReader::new(stream)));
             }
         });
-        Server { address, answer, open }
+        Server { address, answer, open, rejections }
     }
 }
 
@@ -46,11 +53,20 @@
     answer_head: AnswerHead,
     answer: watch::Receiver<Option<Odd>>,
     open: Arc<watch::Sender<usize>>,
+    rejections: Arc<Rejections>,
 }
 
 impl Connection {
     async fn serve(self, mut stream: BufReader<TcpStream>) {
+        let mut late = Late::default();
         while let Some(request) = read_request(&mut stream).await {
+            if request[0].contains("/rejected") {
+                let lines = (self.answer_head)(&request);
+                if self.rejections.answer(&mut stream, &mut late, &lines).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let head = format!("HTTP/1.1 200 OK\r\n{}", (self.answer_head)(&request));
             let odd = self.answer.borrow().clone().filter(|_| request[0].contains("/odd"));
             let Some(odd) = odd else {
