Daemon: deadlines are points in time

Cause: attempt_within read the remaining time, waited for the slot, and gave the sending the same remaining time again.

Clock::timeout_at now runs a future until a point in time, and every wait for the deadline of a request uses it. The remaining time that is sent to a peer is read once the connection is open.

--- a/crates/cherrystream-core/src/deadline.rs
+++ b/crates/cherrystream-core/src/deadline.rs
@@ -1,4 +1,7 @@
 //! Request deadlines. They are sent as the remaining time, which each hop reduces.
+//!
+//! Within a process a deadline is a point in time: a remaining time that is read before other work
+//! would extend the request by the duration of that work.
 
 use crate::units::Timestamp;
 use std::time::Duration;
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -104,7 +104,8 @@
         let sent_at = self.clock.now();
         let at_work = InFlightRequest::begin(&self.suspects, server, call.identity, place);
         let mut awaited = AwaitedResponse::new(server, &connection);
-        let sending = tokio::time::timeout(remaining, server.backend.send(connection, req));
+        let deadline = call.deadline.at();
+        let sending = self.clock.timeout_at(deadline, server.backend.send(connection, req));
         let sent = tokio::select! {
             biased;
             sent = sending => sent,
@@ -139,8 +140,7 @@
             awaited.has_ended = true;
             return res;
         }
-        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        let reading = tokio::time::timeout(remaining, read_if_short(res?));
+        let reading = self.clock.timeout_at(deadline, read_if_short(res?));
         let read = tokio::select! {
             biased;
             read = reading => read,
@@ -158,8 +158,8 @@
         server: &Arc<LocalServer>,
         call: &InboundCall,
     ) -> Result<Connection, Refused> {
-        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or(Duration::ZERO);
-        match tokio::time::timeout(remaining, server.backend.connection_for(&call.call)).await {
+        let connecting = server.backend.connection_for(&call.call);
+        match self.clock.timeout_at(call.deadline.at(), connecting).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(_)) => {
                 server.on_check(Check::Failed);
--- a/crates/cherrystream-daemon/src/inbound/mod.rs
+++ b/crates/cherrystream-daemon/src/inbound/mod.rs
@@ -288,8 +288,7 @@
         let (inbound, server, deadline) = (self.clone(), server.clone(), call.deadline);
         let exchange = tokio::spawn(async move {
             let result = inbound.exchange(&server, permit, place, call).await;
-            let remaining = deadline.remaining(inbound.clock.now()).unwrap_or_default();
-            match tokio::time::timeout(remaining, attempt.settle(result)).await {
+            match inbound.clock.timeout_at(deadline.at(), attempt.settle(result)).await {
                 Ok(settled) => settled,
                 Err(_) => Err(inbound.refuse(Reason::DeadlinePassed)),
             }
--- a/crates/cherrystream-daemon/src/local_server.rs
+++ b/crates/cherrystream-daemon/src/local_server.rs
@@ -317,10 +317,13 @@
             Arrived::Queued(ticket, rx) => (ticket, rx),
         };
         let _guard = QueueGuard { server: self, ticket };
-        let wait = arrival.deadline.since(self.clock.now());
-        match tokio::time::timeout(wait, rx).await {
+        let started = self.clock.now();
+        match self.clock.timeout_at(arrival.deadline, rx).await {
             Ok(Ok(result)) => result,
-            _ => Err(Refusal { reason: Reason::DeadlineBeforeStart, retry_after: wait }),
+            _ => {
+                let retry_after = arrival.deadline.since(started);
+                Err(Refusal { reason: Reason::DeadlineBeforeStart, retry_after })
+            }
         }
     }
 
--- a/crates/cherrystream-daemon/src/outbound/at_most_once.rs
+++ b/crates/cherrystream-daemon/src/outbound/at_most_once.rs
@@ -150,7 +150,8 @@
     }
 
     async fn claim(&self, call: &Call, req: &ClaimRequest) -> Result<ClaimReply, Refused> {
-        let claimed = self.ledger.claim(req, self.ledger_timeout(call)).await;
+        let claimed =
+            self.ledger.claim(req, self.ledger_deadline(call).since(self.clock.now())).await;
         claimed.map_err(|_| Refused::new(Reason::LedgerUnavailable))
     }
 
@@ -229,9 +230,8 @@
         if *holder.host == *self.host {
             return self.inbound.fence(&fence_request).into();
         }
-        let max_wait = self.ledger_timeout(call);
-        let fate =
-            tokio::time::timeout(max_wait, self.query_peer(current, holder, &fence_request)).await;
+        let query = self.query_peer(current, holder, &fence_request);
+        let fate = self.clock.timeout_at(self.ledger_deadline(call), query).await;
         fate.ok().flatten().unwrap_or_default()
     }
 
--- a/crates/cherrystream-daemon/src/outbound/mod.rs
+++ b/crates/cherrystream-daemon/src/outbound/mod.rs
@@ -33,6 +33,7 @@
 use cherrystream_core::retry::{self, RetryBudget};
 use cherrystream_core::routes::RouteIndex;
 use cherrystream_core::suspects::FingerprintKey;
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::body::{self, Body};
 use cherrystream_net::clock::Clock;
 use cherrystream_net::interface::{CallInterface, RefusalHead};
@@ -273,10 +274,9 @@
         res
     }
 
-    /// Returns the longest wait for the ledger before a request is refused.
-    fn ledger_timeout(&self, call: &Call) -> Duration {
-        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        remaining.min(MAX_LEDGER_WAIT)
+    /// Returns the time until which a request waits for the ledger before it is refused.
+    fn ledger_deadline(&self, call: &Call) -> Timestamp {
+        call.deadline.at().min(self.clock.now() + MAX_LEDGER_WAIT)
     }
 }
 
--- a/crates/cherrystream-daemon/src/outbound/replay.rs
+++ b/crates/cherrystream-daemon/src/outbound/replay.rs
@@ -3,10 +3,13 @@
 use crate::refusal::Refused;
 use bytes::Bytes;
 use cherrystream_core::reasons::Reason;
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::body::{self, Body, Start};
+use cherrystream_net::clock::Clock;
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use std::time::Duration;
+use tokio::time::error::Elapsed;
 
 /// Largest body that is buffered, so that the request can be sent again.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -17,6 +20,19 @@
 /// Longest time spent reading a discarded body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time until which a body is read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Until {
+    pub(super) clock: Clock,
+    pub(super) at: Timestamp,
+}
+
+impl Until {
+    async fn run<F: Future>(self, f: F) -> Result<F::Output, Elapsed> {
+        self.clock.timeout_at(self.at, f).await
+    }
+}
+
 /// A request body.
 pub(super) enum Replay {
     /// Buffered; can be sent any number of times.
@@ -30,13 +46,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is incomplete, or not read within the timeout.
+    /// Fails if the body is incomplete, or not read in time.
     pub(super) async fn read(
         incoming: Body,
         limit: usize,
-        timeout: Duration,
+        until: Until,
     ) -> Result<Replay, Refused> {
-        match tokio::time::timeout(timeout, body::read_start(incoming, limit)).await {
+        match until.run(body::read_start(incoming, limit)).await {
             Ok(Ok(Start::Whole(bytes))) => Ok(Replay::Whole(bytes)),
             Ok(Ok(Start::Longer(body))) => Ok(Replay::Stream(Some(body))),
             Ok(Err(_)) => Err(Refused::new(Reason::BadRequest)),
@@ -49,18 +65,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is incomplete, or its prefix is not read within the timeout.
+    /// Fails if the body is incomplete, or its prefix is not read in time.
     pub(super) async fn prefix(
         &mut self,
         limit: usize,
-        timeout: Duration,
+        until: Until,
     ) -> Result<(Bytes, Option<u64>), Refused> {
         let body = match self {
             Replay::Whole(bytes) => return Ok((bytes.clone(), Some(bytes.len() as u64))),
             Replay::Stream(body) => body.take().unwrap_or_else(body::empty),
         };
         let length = body.size_hint().exact();
-        match tokio::time::timeout(timeout, body::read_prefix(body, limit)).await {
+        match until.run(body::read_prefix(body, limit)).await {
             Ok(Ok((prefix, body))) => {
                 *self = Replay::Stream(Some(body));
                 Ok((prefix, length))
--- a/crates/cherrystream-daemon/src/outbound/request.rs
+++ b/crates/cherrystream-daemon/src/outbound/request.rs
@@ -262,9 +262,8 @@
     let ParsedHead { head, destination, key, uri } = parsed;
     let Destination { service, class, route, member, strips_key } = destination;
     let deadline = Deadline::new(outbound.clock.now(), head.time_left, class.deadline);
-    let remaining = deadline.remaining(outbound.clock.now()).unwrap_or_default();
     let charging = charge(outbound, member.as_ref(), head.id.as_deref());
-    let charged = tokio::time::timeout(remaining, charging).await;
+    let charged = outbound.clock.timeout_at(deadline.at(), charging).await;
     let charge = match charged.unwrap_or(Err(Refused::new(Reason::DeadlineBeforeStart))) {
         Ok(charge) => charge,
         Err(refused) => {
@@ -275,12 +274,11 @@
     let now = outbound.clock.now();
     let carried = headers::parsed(&parts.headers, &headers::ALLOWANCE);
     let limit = if key.is_some() { MAX_KEYED_BODY_BYTES } else { MAX_BUFFERED_BYTES };
-    let remaining = deadline.remaining(now).unwrap_or_default();
+    let until = replay::Until { clock: outbound.clock, at: deadline.at() };
     let give_back =
         |_: &Refused| charge.iter().for_each(|charge| outbound.quotas.give_back(charge));
-    let mut body = read_body(body, limit, remaining, key.is_some()).await.inspect_err(give_back)?;
-    let remaining = deadline.remaining(outbound.clock.now()).unwrap_or_default();
-    let prefix = body.prefix(identity::BODY_BYTES, remaining).await;
+    let mut body = read_body(body, limit, until, key.is_some()).await.inspect_err(give_back)?;
+    let prefix = body.prefix(identity::BODY_BYTES, until).await;
     let (prefix, body_length) = prefix.inspect_err(give_back)?;
     let identity = identity::Parts {
         workspace: member.as_ref().map(|member| &*member.workspace.name),
@@ -356,10 +354,10 @@
 async fn read_body(
     body: Body,
     limit: usize,
-    within: Duration,
+    until: replay::Until,
     must_be_whole: bool,
 ) -> Result<Replay, Refused> {
-    match Replay::read(body, limit, within).await? {
+    match Replay::read(body, limit, until).await? {
         Replay::Stream(Some(body)) if must_be_whole => {
             replay::discard(body);
             Err(Refused::new(Reason::BodyTooLarge))
--- a/crates/cherrystream-daemon/src/outbound/reserving.rs
+++ b/crates/cherrystream-daemon/src/outbound/reserving.rs
@@ -14,10 +14,12 @@
 use crate::current_config::CurrentConfig;
 use crate::headers::Op;
 use crate::hop;
+use crate::peer::Traffic;
 use crate::refusal::Refused;
 use cherrystream_core::choose::ServerId;
 use cherrystream_core::reasons::{Outcome, Reason};
 use cherrystream_core::reservations::Reservation;
+use cherrystream_core::units::Timestamp;
 use cherrystream_net::body;
 use http::Request;
 use std::time::Duration;
@@ -49,25 +51,26 @@
         if *server.host == *self.host {
             return self.reserve_local(call, server).await;
         }
-        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        let limit = self.response_timeout(call);
+        let deadline = call.deadline.at();
+        let respond_by = self.respond_by(call);
         let pending = self.reserve_remote(call, current, server);
-        match tokio::time::timeout(remaining.min(limit), pending).await {
+        match self.clock.timeout_at(deadline.min(respond_by), pending).await {
             Ok(reserved) => reserved,
-            Err(_) if limit < remaining => Err(Refused::new(Reason::PeerUnreachable)),
+            Err(_) if respond_by < deadline => Err(Refused::new(Reason::PeerUnreachable)),
             Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
         }
     }
 
-    /// Returns the response timeout of a reservation. An offer that may be refused is answered at
-    /// once; others queue, nested calls until their deadline.
-    fn response_timeout(&self, call: &Call) -> Duration {
-        let queue_wait = match (call.is_selective(), call.times.is_some()) {
-            (true, _) => Duration::ZERO,
-            (false, true) => self.remaining_wait(call),
-            (false, false) => Duration::MAX,
+    /// Returns the time by which a reservation is answered. An offer that may be refused is answered
+    /// at once; others queue, nested calls until their deadline.
+    fn respond_by(&self, call: &Call) -> Timestamp {
+        let now = self.clock.now();
+        let queue_until = match (call.is_selective(), call.times.is_some()) {
+            (true, _) => now,
+            (false, true) => now + self.remaining_wait(call),
+            (false, false) => call.deadline.at(),
         };
-        queue_wait.saturating_add(MAX_RESPONSE_DELAY)
+        queue_until + MAX_RESPONSE_DELAY
     }
 
     async fn reserve_local(&self, call: &Call, server: &ServerId) -> Result<Reservation, Refused> {
@@ -89,6 +92,8 @@
         let unreachable = Refused::new(Reason::PeerUnreachable);
         let address = &current.shared.hosts.get(&*server.host).ok_or(unreachable)?.peer_address;
         let mut req = Request::new(body::empty());
+        // The remaining time is read after the wait for the connection.
+        self.connect(call, address, Traffic::of(&req)).await?;
         self.set_peer_headers(req.headers_mut(), Op::Reserve, call, server, Permits::default());
         *req.uri_mut() = send::peer_target(call, address)?;
         *req.version_mut() = http::Version::HTTP_2;
--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -79,9 +79,10 @@
         server: &ServerId,
         claimed: Option<Claimed>,
     ) -> AttemptResult {
-        let Some(remaining) = call.deadline.remaining(self.clock.now()) else {
+        if call.deadline.remaining(self.clock.now()).is_none() {
             return Err(Refused::new(Reason::DeadlineBeforeStart));
-        };
+        }
+        let ends_at = call.deadline.at() + DEADLINE_GRACE;
         let needs_reservation = call.body.needs_reservation() || self.must_reserve(call, server);
         let reservation = match claimed.is_none() && needs_reservation {
             true => Some(self.reserve(call, current, server).await?),
@@ -102,7 +103,7 @@
                 false => self.send_remote(call, current, server, permits).await,
             }
         };
-        let result = tokio::time::timeout(remaining + DEADLINE_GRACE, attempt).await;
+        let result = self.clock.timeout_at(ends_at, attempt).await;
         // An attempt dropped before this point remains in flight, as its outcome is unknown.
         call.in_flight.fetch_sub(1, Ordering::Relaxed);
         result.unwrap_or(Err(Refused::new(Reason::DeadlinePassed)))
@@ -170,6 +171,8 @@
             return Err(Refused::new(Reason::PeerUnreachable));
         };
         let mut req = self.build_request(call)?;
+        let connection = self.connect(call, &record.peer_address, Traffic::of(&req)).await?;
+        // The remaining time is read after the wait for the connection.
         self.set_peer_headers(req.headers_mut(), Op::Call, call, server, permits);
         let is_resendable = call.is_repeatable_after_silence();
         if is_resendable {
@@ -177,8 +180,6 @@
         }
         *req.uri_mut() = peer_target(call, &record.peer_address)?;
         *req.version_mut() = http::Version::HTTP_2;
-        let traffic = Traffic::of(&req);
-        let connection = self.connect(call, &record.peer_address, traffic).await?;
         self.metrics.peer_calls.inc();
         if !is_resendable {
             return self.exchange(call, server, &record.peer_address, connection, req).await;
@@ -222,8 +223,8 @@
         let body = match body::read_start(body, MAX_CACHED_BYTES).await {
             Ok(Start::Whole(bytes)) => body::full(bytes),
             Ok(Start::Longer(body)) => {
-                let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-                body::within(body, remaining + DEADLINE_GRACE)
+                let ends_at = call.deadline.at() + DEADLINE_GRACE;
+                body::within(body, ends_at.since(self.clock.now()))
             }
             Err(_) => return Err(Refused::new(Reason::BackendServerBroke)),
         };
@@ -232,14 +233,14 @@
 
     /// Returns a connection to a peer. Nothing of the request is sent meanwhile, so it has provably
     /// not run if the deadline passes.
-    async fn connect(
+    pub(super) async fn connect(
         &self,
         call: &Call,
         address: &str,
         traffic: Traffic,
     ) -> Result<PeerConnection, Refused> {
-        let remaining = call.deadline.remaining(self.clock.now()).unwrap_or_default();
-        match tokio::time::timeout(remaining, self.peers.connect(address, traffic)).await {
+        let connecting = self.peers.connect(address, traffic);
+        match self.clock.timeout_at(call.deadline.at(), connecting).await {
             Ok(connection) => connection.ok_or(Refused::new(Reason::PeerUnreachable)),
             Err(_) => Err(Refused::new(Reason::DeadlineBeforeStart)),
         }
--- a/crates/cherrystream-daemon/tests/reserving.rs
+++ b/crates/cherrystream-daemon/tests/reserving.rs
@@ -24,9 +24,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SLOT: Reservation = Reservation(42);
+/// Time until a slot is free.
+const SLOT_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest time beyond the timeout of a route until its request has an answer.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
 const LONG_BODY: &str = "thirty-two bytes of a long body.";
 
 /// A call received by the peer, with the length of its body.
@@ -43,6 +47,8 @@
     Grants,
     /// Grants, but answers the first reservation long after its timeout.
     GrantsLate,
+    /// Answers reservations after [`SLOT_WAIT`], and calls never, as a host that stalls then.
+    GrantsThenStalls,
     Refuses,
     /// Accepts calls and never answers, as a stalled host does.
     Unresponsive,
@@ -78,6 +84,13 @@
         }
         let refused = Refused::new(Reason::BusyNow);
         let grants = matches!(self.behavior, Behavior::Grants | Behavior::GrantsLate);
+        if self.behavior == Behavior::GrantsThenStalls {
+            if op != Op::Reserve {
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(SLOT_WAIT).await;
+            return hop::write_reservation(head.call, Ok(SLOT), None);
+        }
         match op {
             _ if self.behavior == Behavior::Unresponsive => std::future::pending().await,
             Op::Reserve if grants => hop::write_reservation(head.call, Ok(SLOT), None),
@@ -287,3 +300,21 @@
     let calls = peer.received.lock().clone();
     assert!(calls.iter().all(|a| a.op == Op::Reserve), "{calls:?}");
 }
+
+/// Guards against a request that is held past its deadline by the time that it waited for a slot.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_wait_for_a_slot_does_not_extend_the_deadline() {
+    let (peer, address) = start_peer(Behavior::GrantsThenStalls).await;
+    let mut state = state(&address);
+    let route = state.routes.as_mut().and_then(|table| table.routes.get_mut("r-1")).unwrap();
+    // A fifth of the target latency is the longest wait for a slot.
+    route.target_us = 10_000_000;
+    let timeout = Duration::from_micros(route.timeout_us);
+    let (_daemon, callers) = start_daemon(state).await;
+    assert_eq!(send_until_in_effect(&callers, "").await, 504);
+    assert_reserved_first(&peer, 0);
+    let started = Instant::now();
+    assert_eq!(send_request(&callers, String::new()).await, 504);
+    let took = started.elapsed();
+    assert!(took < timeout + MAX_LATENESS, "answered after {took:?}");
+}
--- a/crates/cherrystream-net/src/clock.rs
+++ b/crates/cherrystream-net/src/clock.rs
@@ -3,6 +3,7 @@
 use cherrystream_core::units::Timestamp;
 use nix::time::{self, ClockId};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::error::Elapsed;
 
 /// A monotonic clock that starts at its creation and advances while the host is suspended.
 ///
@@ -30,6 +31,16 @@
     pub fn now(&self) -> Timestamp {
         Timestamp((self.read)().saturating_sub(self.start).as_micros() as u64)
     }
+
+    /// Runs a future until a point in time. Unlike a duration, that does not move when other work
+    /// comes first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the future has not completed by then.
+    pub async fn timeout_at<F: Future>(&self, at: Timestamp, f: F) -> Result<F::Output, Elapsed> {
+        tokio::time::timeout(at.since(self.now()), f).await
+    }
 }
 
 /// Returns the time since the host was booted, including suspensions.
