Net: no status outside 200 to 599 reaches a caller

Other operators saw a client receive an answer with the status 000. Here the HTTP library refuses 000, but callers received 101, 600 and 999 of a faulty backend server.

Cause: only the library checked the status, and it accepts 100 to 999.

A head with a status that is not final is now malformed, like one whose length is ambiguous. Answers of peers are checked as well.

Evidence: processes odd_answers::no_status_outside_200_to_599_reaches_a_ caller and its twin for the platform failed before for 101, 600 and 999, and pass now.

--- a/crates/cherrystream-daemon/src/outbound/send.rs
+++ b/crates/cherrystream-daemon/src/outbound/send.rs
@@ -17,6 +17,7 @@
 use cherrystream_core::retry;
 use cherrystream_core::units;
 use cherrystream_net::body::{self, Body, Start};
+use cherrystream_net::framing;
 use http::{HeaderMap, Request, Response, Uri, header};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -320,6 +321,8 @@
         if let Some(refused) = hop::read_refusal(res.headers(), &head) {
             return Err(refused);
         }
+        // A peer of an earlier release may not have checked it.
+        framing::check_status(res.status()).map_err(|_| Refused::new(Reason::MalformedAnswer))?;
         let (mut parts, body) = res.into_parts();
         headers::remove_own_from_answer(&mut parts.headers);
         parts.version = http::Version::HTTP_11;
--- a/crates/cherrystream-net/src/framing.rs
+++ b/crates/cherrystream-net/src/framing.rs
@@ -1,5 +1,4 @@
-//! Framing of HTTP/1.1 responses: the length of a body, by the head of its response (RFC 9112,
-//! section 6).
+//! Heads of HTTP/1.1 responses: the status, and the length of the body (RFC 9112, section 6).
 //!
 //! A head that states its length in two ways is malformed: two readers that choose differently
 //! disagree about where the next response begins. Every head from a backend server is checked here
@@ -8,6 +7,10 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 use snafu::Snafu;
+use std::ops::RangeInclusive;
+
+/// Statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// The only transfer coding that is decoded.
 const CHUNKED: &[u8] = b"chunked";
@@ -28,7 +31,13 @@
 /// Why the head of a response is malformed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum MalformedHead {
-    /// The response is final, but states no valid length.
+    /// The status is not that of a final response.
+    #[snafu(display("the status {status} of the response is not between 200 and 599"))]
+    Status {
+        /// The status.
+        status: u16,
+    },
+    /// No valid length is stated.
     #[snafu(display("the Content-Length of the response is not one number"))]
     Length,
     /// The body is encoded in a way that is not decoded.
@@ -62,12 +71,13 @@
 ///
 /// # Errors
 ///
-/// Fails if the head states no length, or several.
+/// Fails if the status is not final, or the head states no valid length, or several.
 pub fn body_length(
     method: &Method,
     status: StatusCode,
     fields: &(impl Fields + ?Sized),
 ) -> Result<BodyLength, MalformedHead> {
+    check_status(status)?;
     let length = content_length(fields)?;
     let is_coded = has_coding(fields)?;
     if is_coded && length.is_some() {
@@ -102,9 +112,16 @@
     Ok(())
 }
 
-/// Returns whether a message has a transfer coding other than chunks, which is not decoded.
-pub fn has_unknown_coding(headers: &HeaderMap) -> bool {
-    has_coding(headers).is_err()
+/// Checks the status of a response.
+///
+/// # Errors
+///
+/// Fails if it is not that of a final response.
+pub fn check_status(status: StatusCode) -> Result<(), MalformedHead> {
+    match FINAL_STATUSES.contains(&status.as_u16()) {
+        true => Ok(()),
+        false => Err(MalformedHead::Status { status: status.as_u16() }),
+    }
 }
 
 /// Returns whether the body is chunked.
--- a/crates/cherrystream-net/tests/framing.rs
+++ b/crates/cherrystream-net/tests/framing.rs
@@ -54,3 +54,17 @@
         assert_eq!(framing::body_length(&method, status, &map), Ok(BodyLength::Absent));
     }
 }
+
+/// Guards against a status that callers cannot interpret.
+#[test]
+fn a_status_is_final() {
+    for status in [101, 199, 600, 999] {
+        let read =
+            framing::body_length(&Method::GET, StatusCode::from_u16(status).unwrap(), &fields(&[]));
+        assert_eq!(read, Err(MalformedHead::Status { status }));
+    }
+    for status in [200, 299, 421, 599] {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert!(framing::body_length(&Method::GET, status, &fields(&[])).is_ok());
+    }
+}
--- a/crates/cherrystream/tests/processes/odd_answers/answers.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/answers.rs
@@ -17,12 +17,14 @@
 /// An answer of a server.
 #[derive(Clone, Debug)]
 pub struct Odd {
+    /// Status and reason that replace the 200 at the beginning.
+    pub status: &'static str,
     pub begin: Vec<u8>,
     pub rest: Rest,
 }
 
 fn odd(begin: &str, rest: Rest) -> Odd {
-    Odd { begin: begin.into(), rest }
+    Odd { status: "200 OK", begin: begin.into(), rest }
 }
 
 /// Returns an answer whose body has begun with more than a daemon buffers.
@@ -35,7 +37,7 @@
     if chunked {
         begin.extend(b"\r\n");
     }
-    Odd { begin, rest }
+    Odd { status: "200 OK", begin, rest }
 }
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -124,3 +126,13 @@
     let head = "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n";
     short.into_iter().chain([long(head, true, Rest::Silence)]).collect()
 }
+
+/// Returns whole answers whose status is not that of a final answer.
+pub fn invalid_statuses() -> Vec<Odd> {
+    ["000 Unknown", "001 Odd", "099 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"]
+        .map(|status| Odd {
+            status,
+            ..odd("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd", Rest::Silence)
+        })
+        .into()
+}
--- a/crates/cherrystream/tests/processes/odd_answers/mod.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/mod.rs
@@ -235,7 +235,8 @@
                 let end = raw::status(&daemon.caller, &ask).await;
                 if end != Ok(BAD_GATEWAY) {
                     let begin = String::from_utf8_lossy(&odd.begin[..odd.begin.len().min(90)]);
-                    wrong.push(format!("{place} {repeat:?} {begin:?}: {end:?}"));
+                    let status = odd.status;
+                    wrong.push(format!("{place} {repeat:?} {status} {begin:?}: {end:?}"));
                 }
                 let mut open = self.server.open.subscribe();
                 let closed = tokio::time::timeout(END_TIMEOUT, open.wait_for(|n| *n == 0)).await;
@@ -338,6 +339,18 @@
     assert_ends(Interface::Platform, answers::silent()).await;
 }
 
+/// Guards against answers that callers receive with a status like 000 or 600.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_status_outside_200_to_599_reaches_a_caller() {
+    assert_fails(Interface::Own, answers::invalid_statuses()).await;
+}
+
+/// Guards against answers that callers receive with a status like 000 or 600.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_status_outside_200_to_599_reaches_a_caller_on_the_platform() {
+    assert_fails(Interface::Platform, answers::invalid_statuses()).await;
+}
+
 /// Guards against a late copy of a rejection that is taken for the answer to the same request, which
 /// was sent again and is running.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/cherrystream/tests/processes/odd_answers/server.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/server.rs
@@ -67,15 +67,16 @@
                 }
                 continue;
             }
-            let head = format!("HTTP/1.1 200 OK\r\n{}", (self.answer_head)(&request));
+            let lines = (self.answer_head)(&request);
             let odd = self.answer.borrow().clone().filter(|_| request[0].contains("/odd"));
             let Some(odd) = odd else {
-                let whole = format!("{head}Content-Length: 2\r\n\r\nok");
+                let whole = format!("HTTP/1.1 200 OK\r\n{lines}Content-Length: 2\r\n\r\nok");
                 if stream.write_all(whole.as_bytes()).await.is_err() {
                     return;
                 }
                 continue;
             };
+            let head = format!("HTTP/1.1 {}\r\n{lines}", odd.status);
             self.open.send_modify(|n| *n += 1);
             let _ = send_odd(&mut stream, &odd, &head).await;
             self.open.send_modify(|n| *n -= 1);
