Tests: answers without end are not kept in memory

Other operators saw a machine run out of memory because it kept all bytes of an answer without end. The test guards that, with the memory that a daemon may use (32 MB) as its bound.

--- a/crates/cherrystream/tests/processes/odd_answers/mod.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/mod.rs
@@ -29,6 +29,11 @@
 const END_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time until another request is served after one with an odd answer.
 const SERVED_TIMEOUT: Duration = Duration::from_secs(6);
+/// Callers at once of answers without end.
+const CALLERS: usize = 64;
+/// Longest growth of the peak memory of a daemon meanwhile, in bytes: the memory that a daemon may use
+/// for control.
+const MAX_GROWTH: u64 = 32 << 20;
 /// Number of requests that are rejected, at each daemon.
 const REJECTED: usize = 20;
 /// Time between two reports of an instance.
@@ -367,3 +372,34 @@
         }
     }
 }
+
+/// Guards against a daemon that keeps all bytes of an answer without end and runs out of memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_end_are_not_kept_in_memory() {
+    let fleet = Fleet::start(Interface::Own).await;
+    let peaks = || [&fleet.near, &fleet.far].map(|daemon| daemon.process.peak_memory());
+    let before = peaks();
+    for odd in answers::without_content().into_iter().chain(answers::without_end()) {
+        fleet.server.answer.send_replace(Some(odd.clone()));
+        let mut callers = JoinSet::new();
+        for n in 0..CALLERS {
+            let daemon = if n % 2 == 0 { &fleet.near } else { &fleet.far };
+            let (address, ask) = (daemon.caller.clone(), Interface::Own.odd(Repeat::Allowed));
+            callers.spawn(async move {
+                match n % 4 < 2 {
+                    true => drop(raw::status(&address, &ask).await),
+                    false => drop(raw::send_without_reading(&address, &ask, DEADLINE).await),
+                }
+            });
+        }
+        callers.join_all().await;
+        let begin = String::from_utf8_lossy(&odd.begin[..odd.begin.len().min(60)]).into_owned();
+        let grown = std::array::from_fn::<u64, 2, _>(|n| peaks()[n] - before[n]);
+        println!("{begin:?} {:?}: peaks have grown by {grown:?}", odd.rest);
+        assert!(
+            grown.iter().all(|grown| *grown < MAX_GROWTH),
+            "{begin:?} {:?}: {grown:?}",
+            odd.rest
+        );
+    }
+}
--- a/crates/cherrystream/tests/processes/odd_answers/raw.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/raw.rs
@@ -44,7 +44,10 @@
         head.iter().filter_map(|line| line.strip_prefix("content-length: ")).collect();
     let [length] = lengths[..] else { return Ok(Err(format!("{status}, lengths {lengths:?}"))) };
     let length = length.parse().map_err(|_| io::ErrorKind::InvalidData)?;
-    stream.read_exact(&mut vec![0; length]).await?;
+    let mut body = (&mut stream).take(length);
+    if tokio::io::copy(&mut body, &mut tokio::io::sink()).await? < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
     let more = tokio::time::timeout(QUIET_TIME, stream.read_u8()).await;
     Ok(match more {
         Ok(Ok(_)) => Err(format!("{status}, and more bytes than its length")),
@@ -63,3 +66,11 @@
     head.push_str(&format!("content-length: {}\r\n\r\n", ask.body.len()));
     [head.as_bytes(), &ask.body].concat()
 }
+
+/// Sends a request and reads nothing until a time has passed.
+pub async fn send_without_reading(address: &str, ask: &Ask, time: Duration) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(&encode(address, ask)).await?;
+    tokio::time::sleep(time).await;
+    Ok(())
+}
