Net: the length of an answer is known to its readers

Since answers without content are limited, a wrapper hid the length of each answer: the daemon took all of them for long ones, with a task each that watches for a stalled reader, and began to buffer bodies that announce more than it buffers.

Cause: http_body_util's MapFrame does not pass on the size hint.

Evidence: net exchanges::the_length_of_a_response_is_known failed before (no length) and passes now.

--- a/crates/cherrystream-net/src/overhead.rs
+++ b/crates/cherrystream-net/src/overhead.rs
@@ -3,7 +3,9 @@
 //! A chunk size, for example, may have any number of leading zeros. A server that never ends it keeps
 //! the reader busy.
 
-use crate::body::Body;
+use crate::body::{Body, BoxError};
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use std::io;
 use std::pin::Pin;
@@ -30,11 +32,7 @@
 
     /// Returns a body each frame of which is content.
     pub(crate) fn watch(self: Arc<Self>, body: Body) -> Body {
-        let on_frame = move |frame| {
-            self.reset();
-            frame
-        };
-        body.map_frame(on_frame).boxed()
+        Content { body, overhead: self }.boxed()
     }
 
     fn on_received(&self, n: usize) -> io::Result<()> {
@@ -46,6 +44,36 @@
     }
 }
 
+/// A body whose frames reset the overhead.
+struct Content {
+    body: Body,
+    overhead: Arc<Overhead>,
+}
+
+impl http_body::Body for Content {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
+            self.overhead.reset();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A connection that fails once its overhead exceeds the limit.
 pub(crate) struct Limited<S> {
     io: S,
--- a/crates/cherrystream-net/tests/request_ids.rs
+++ b/crates/cherrystream-net/tests/exchanges.rs
@@ -1,9 +1,10 @@
-//! Identifiers of requests on pooled connections.
+//! Requests on pooled connections: their identifiers, and the length of their responses.
 
 use cherrystream_net::body::{self, Body, Start};
 use cherrystream_net::pool::Pool;
 use cherrystream_net::serve::{self, Phases};
 use http::{HeaderName, Request, Response};
+use http_body::Body as _;
 use prometheus_client::metrics::counter::Counter;
 
 const ID: HeaderName = HeaderName::from_static("request-id");
@@ -50,3 +51,14 @@
     }
     assert_eq!(connects.get(), 3);
 }
+
+/// Guards against responses whose length is known and that are handled as if it were not, for example
+/// as long ones.
+#[tokio::test]
+async fn the_length_of_a_response_is_known() {
+    let (pool, _) = start().await;
+    let connection = pool.connection_for("a").await.unwrap();
+    let req = Request::get("/").header("host", "h").body(body::empty()).unwrap();
+    let res = pool.send(connection, req).await.unwrap();
+    assert_eq!(res.body().size_hint().exact(), Some(2));
+}
