Daemon: a request in an unknown transfer coding is refused

A request with Transfer-Encoding "gzip, chunked" was served: its chunks were decoded, and the backend server received the compressed bytes without the header that names their coding.

Cause: the HTTP library accepts any coding before chunks, and the daemon removes the header as one of a single connection.

net::framing already knows which codings are decoded; a request with another one gets 400. It also removes a length from a 204 or 304, which have no body.

--- a/crates/cherrystream-daemon/src/outbound/destination.rs
+++ b/crates/cherrystream-daemon/src/outbound/destination.rs
@@ -9,6 +9,7 @@
 use cherrystream_core::reasons::Reason;
 use cherrystream_core::routes::{NamedRoute, RouteIndex};
 use cherrystream_core::workspaces::ApiKey;
+use cherrystream_net::framing;
 use cherrystream_net::interface::CallerHead;
 use http::{HeaderMap, Uri, header, request};
 use std::sync::Arc;
@@ -34,6 +35,10 @@
     parts: &request::Parts,
     caller: Result<CallerHead, Reason>,
 ) -> Result<ParsedHead, Refused> {
+    // The body would be forwarded as it is, without the header that names its coding.
+    if framing::has_unknown_coding(&parts.headers) {
+        return Err(Refused::new(Reason::BadRequest));
+    }
     let head = caller.map_err(Refused::new)?;
     let destination = find_destination(outbound, current, parts, head.key.as_ref())?;
     let key = read_key(&parts.headers, &destination.class)?;
--- a/crates/cherrystream-net/src/framing.rs
+++ b/crates/cherrystream-net/src/framing.rs
@@ -83,9 +83,7 @@
     if is_coded && length.is_some() {
         return Err(MalformedHead::LengthAndCoding);
     }
-    if *method == Method::HEAD
-        || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-    {
+    if *method == Method::HEAD || has_no_body(status) {
         return Ok(BodyLength::Absent);
     }
     Ok(match length {
@@ -95,7 +93,8 @@
     })
 }
 
-/// Checks the head of a response, and reduces a repeated `Content-Length` to one.
+/// Checks the head of a response. Reduces a repeated `Content-Length` to one, and removes it from a
+/// response that has no body by its status.
 ///
 /// # Errors
 ///
@@ -106,12 +105,24 @@
     headers: &mut HeaderMap,
 ) -> Result<(), MalformedHead> {
     body_length(method, status, headers)?;
-    if let Some(length) = content_length(headers)? {
+    if has_no_body(status) {
+        headers.remove(header::CONTENT_LENGTH);
+    } else if let Some(length) = content_length(headers)? {
         headers.insert(header::CONTENT_LENGTH, length.into());
     }
     Ok(())
 }
 
+/// Returns whether a message has a transfer coding other than chunks, which is not decoded.
+pub fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    has_coding(headers).is_err()
+}
+
+/// Returns whether responses with a status have no body.
+fn has_no_body(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// Checks the status of a response.
 ///
 /// # Errors
--- a/crates/cherrystream-net/src/interface.rs
+++ b/crates/cherrystream-net/src/interface.rs
@@ -223,6 +223,10 @@
     /// Reads a health response.
     fn read_health(&self, head: &response::Parts) -> HealthResponse;
 
+    /// Returns whether a header of a response reaches the caller even if the response names it in
+    /// `Connection`.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+
     /// Removes headers of a backend server that are not meant for the caller.
     /// [`CallInterface::mark_answered`] writes those that the caller receives.
     fn remove_answer_head(&self, headers: &mut HeaderMap);
--- a/crates/cherrystream-net/tests/framing.rs
+++ b/crates/cherrystream-net/tests/framing.rs
@@ -52,6 +52,10 @@
     for (method, status) in [(Method::HEAD, 200), (Method::GET, 204), (Method::GET, 304)] {
         let status = StatusCode::from_u16(status).unwrap();
         assert_eq!(framing::body_length(&method, status, &map), Ok(BodyLength::Absent));
+        let mut forwarded = map.clone();
+        framing::normalize(&method, status, &mut forwarded).unwrap();
+        // The length of a response to HEAD is that of the response to GET.
+        assert_eq!(forwarded.contains_key(header::CONTENT_LENGTH), method == Method::HEAD);
     }
 }
 
--- a/crates/cherrystream/tests/processes/odd_answers/answers.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/answers.rs
@@ -115,6 +115,7 @@
         "Transfer-Encoding: chunked\r\nContent-Length: 2",
         "Content-Length: 40\r\nTransfer-Encoding: chunked",
         "Content-Length: 2\r\nTransfer-Encoding: identity",
+        "Transfer-Encoding: gzip",
         "Transfer-Encoding: gzip, chunked",
         "Transfer-Encoding: chunked, chunked",
         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
