Platform: an answer keeps its signature whatever Connection names

A faulty backend server that named X-Server-Signature in Connection made a success without a signature of its answer.

Cause: headers named in Connection are removed, and the signature was no exception, though answers are to return it unchanged.

Evidence: platform whole_path::the_signature_reaches_clients_even_if_ connection_names_it failed before (no such header) and passes now.

--- a/crates/cherrystream-daemon/src/headers.rs
+++ b/crates/cherrystream-daemon/src/headers.rs
@@ -189,12 +189,18 @@
 
 /// Removes hop-by-hop headers, including those listed in `Connection`.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    remove_hop_by_hop_except(headers, |_| false);
+}
+
+/// Like [`remove_hop_by_hop`], but keeps some of the headers listed in `Connection`.
+pub fn remove_hop_by_hop_except(headers: &mut HeaderMap, is_kept: impl Fn(&HeaderName) -> bool) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !is_kept(name))
         .collect();
     for name in HOP_BY_HOP.iter().chain(&named) {
         headers.remove(name);
--- a/crates/cherrystream-daemon/src/inbound/exchange.rs
+++ b/crates/cherrystream-daemon/src/inbound/exchange.rs
@@ -15,7 +15,7 @@
 use cherrystream_net::pool::{Connection, NoAnswer};
 use cherrystream_net::stall;
 use cherrystream_schema::messages::ServerState;
-use http::{Response, response};
+use http::{HeaderName, Response, response};
 use http_body::Body as _;
 use std::sync::Arc;
 use std::time::Duration;
@@ -219,7 +219,8 @@
             }
         }
         self.read_state(server, at, &parts);
-        headers::remove_hop_by_hop(&mut parts.headers);
+        let is_kept = |name: &HeaderName| self.interface.is_end_to_end(name);
+        headers::remove_hop_by_hop_except(&mut parts.headers, is_kept);
         headers::remove_own_from_answer(&mut parts.headers);
         self.interface.remove_answer_head(&mut parts.headers);
         let failed = parts.status.is_server_error();
--- a/crates/cherrystream-daemon/src/own_interface.rs
+++ b/crates/cherrystream-daemon/src/own_interface.rs
@@ -90,6 +90,10 @@
         HealthResponse { instance, cold_for: read_cold_time(&head.headers) }
     }
 
+    fn is_end_to_end(&self, _name: &HeaderName) -> bool {
+        false
+    }
+
     fn remove_answer_head(&self, _map: &mut HeaderMap) {}
 
     fn write_refusal(&self, refusal: &RefusalHead<'_>) -> Response<Body> {
