Soak: answers of backend servers that are spoiled on their way

Relays between daemons and backend servers spoil some answers for a while: a length beside chunks, two lengths, statuses 600, 101 and 000, and an answer that is sent once more in the place of the next one. The draws of the other faults stay as they were.

--- a/crates/cherrystream/tests/processes/support/mod.rs
+++ b/crates/cherrystream/tests/processes/support/mod.rs
@@ -4,4 +4,5 @@
 pub mod process;
 pub mod relay;
 pub mod site;
+mod spoil;
 pub mod wait;
--- a/crates/cherrystream/tests/processes/support/relay.rs
+++ b/crates/cherrystream/tests/processes/support/relay.rs
@@ -1,5 +1,6 @@
-//! TCP relay that can hold, delay, throttle, cut or silence connections.
+//! TCP relay that can hold, delay, throttle, cut or silence connections, or spoil answers.
 
+use super::spoil::Spoiler;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -31,17 +32,19 @@
     Delay,
     /// Forwards this many bytes per second in each direction, over all connections of its line.
     Rate(u64),
+    /// Forwards them, and spoils some answers; see [`Spoiler`].
+    Spoil,
     /// Closes connections.
     Cut,
 }
 
 impl Mode {
     fn passes_there(&self) -> bool {
-        matches!(self, Mode::Pass | Mode::Delay | Mode::Rate(_) | Mode::HoldBack)
+        matches!(self, Mode::Pass | Mode::Delay | Mode::Rate(_) | Mode::HoldBack | Mode::Spoil)
     }
 
     fn passes_back(&self) -> bool {
-        matches!(self, Mode::Pass | Mode::Delay | Mode::Rate(_))
+        matches!(self, Mode::Pass | Mode::Delay | Mode::Rate(_) | Mode::Spoil)
     }
 }
 
@@ -223,6 +226,7 @@
     silence: Silence<'_>,
 ) {
     let mut buf = vec![0; 16 * 1024];
+    let mut spoiler = Spoiler::default();
     loop {
         let read = from.read(&mut buf).await;
         if silence.is_on() {
@@ -243,7 +247,11 @@
             Mode::Rate(rate) => direction.throttle(n, rate).await,
             _ => {}
         }
-        if !silence.is_on() && to.write_all(&buf[..n]).await.is_err() {
+        let sent = match now {
+            Mode::Spoil => spoiler.spoil(&buf[..n]),
+            _ => buf[..n].into(),
+        };
+        if !silence.is_on() && to.write_all(&sent).await.is_err() {
             let _ = to.shutdown().await;
             return;
         }
--- a/crates/cherrystream/tests/soak/main.rs
+++ b/crates/cherrystream/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! callers, backend servers and operators from their observations.
 //!
 //! Hosts have slow links in most runs, and the route table is continually replaced by large ones.
-//! Open connections of every link go silent for good, during the other faults and after them.
+//! Open connections of every link go silent for good, during the other faults and after them. Some
+//! answers of backend servers contradict themselves, have invalid statuses or come twice.
 //! Except in the runs of `FAILED_SEEDS`, every request needs a key, and keys are added, revoked and
 //! moved.
 //!
@@ -71,6 +72,8 @@
 /// Salt of the seed for silences, which keeps the draws of the other faults independent.
 const SILENCES_SALT: u64 = 0x7369_6c65_6e74;
 
+/// Salt of the seed for spoiled answers, which keeps the draws of the other faults independent.
+const SPOILED_SALT: u64 = 0x0073_706f_696c;
 /// Salt of the seed for evacuations, which keeps the draws of the other operators independent.
 const EVACUATIONS_SALT: u64 = 0x6576_6163;
 
@@ -178,6 +181,8 @@
     let mut rng = SmallRng::seed_from_u64(seed ^ SILENCES_SALT);
     plan.extend(plan::draw_silences(&mut rng, size, duration));
     let silences_alone = plan::draw_silences_alone(&mut rng, size);
+    let mut rng = SmallRng::seed_from_u64(seed ^ SPOILED_SALT);
+    plan.extend(plan::draw_spoiled(&mut rng, size, duration));
     if seed % PLANNED_RUN_EVERY == PLANNED_RUN_EVERY - 1 {
         plan.retain(|scheduled| !scheduled.fault.is_disruptive());
     }
--- a/crates/cherrystream/tests/soak/plan.rs
+++ b/crates/cherrystream/tests/soak/plan.rs
@@ -35,6 +35,9 @@
 /// connections must work again.
 const SILENCE_DURATION: Duration = Duration::from_secs(2);
 
+/// Mean pause between two periods in which answers of a backend server are spoiled, in milliseconds.
+const MEAN_SPOIL_PAUSE_MS: u64 = 1_200;
+
 /// Setup of the hosts of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Hosts {
@@ -249,6 +252,19 @@
     plan
 }
 
+/// Draws periods in which answers of backend servers are spoiled, in addition to the other faults.
+pub fn draw_spoiled(rng: &mut SmallRng, size: Size, length: Duration) -> Vec<ScheduledFault> {
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..2 * MEAN_SPOIL_PAUSE_MS));
+    while at < length {
+        let fault = Fault::Link(Link::Server(rng.random_range(0..size.daemons)), Mode::Spoil);
+        let duration = Duration::from_millis(rng.random_range(DURATION_MS));
+        plan.push(ScheduledFault { at, duration, fault });
+        at += Duration::from_millis(rng.random_range(0..2 * MEAN_SPOIL_PAUSE_MS));
+    }
+    plan
+}
+
 /// Draws silences that no other fault overlaps: of one link or all between control replicas first,
 /// and of some of the other kinds of links.
 pub fn draw_silences_alone(rng: &mut SmallRng, size: Size) -> Vec<ScheduledFault> {
