--- a/crates/cherrystream/tests/processes/support/mod.rs
+++ b/crates/cherrystream/tests/processes/support/mod.rs
@@ -4,5 +4,4 @@
 pub mod process;
 pub mod relay;
 pub mod site;
-mod spoil;
 pub mod wait;
--- a/crates/cherrystream/tests/processes/support/relay.rs
+++ b/crates/cherrystream/tests/processes/support/relay.rs
@@ -1,6 +1,8 @@
 //! TCP relay that can hold, delay, throttle, cut or silence connections, or spoil answers.
 
-use super::spoil::Spoiler;
+#[path = "spoil.rs"]
+mod spoil;
+use spoil::Spoiler;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
