Tests: an answer in chunks of one byte is timed by a client that keeps up

It has a test of its own now, with the same bound and a client that does not parse, and stays in the test of memory.

--- a/crates/cherrystream/tests/processes/odd_answers/answers.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/answers.rs
@@ -89,7 +89,6 @@
 pub fn without_end() -> Vec<Odd> {
     vec![
         odd(CHUNKED, Rest::Flow("2\r\nab\r\n")),
-        odd(CHUNKED, Rest::Endless("1\r\na\r\n")),
         odd("HTTP/1.1 200 OK\r\n\r\n", Rest::Endless("x")),
         odd("HTTP/1.1 200 OK\r\n\r\n", Rest::Flow("x")),
         odd("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", Rest::Endless("x")),
@@ -98,6 +97,11 @@
     ]
 }
 
+/// Returns an answer in chunks of one byte, as fast as possible.
+pub fn smallest_chunks() -> Odd {
+    odd(CHUNKED, Rest::Endless("1\r\na\r\n"))
+}
+
 /// Returns short answers whose server falls silent.
 pub fn silent() -> Vec<Odd> {
     vec![
--- a/crates/cherrystream/tests/processes/odd_answers/mod.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/mod.rs
@@ -379,7 +379,8 @@
     let fleet = Fleet::start(Interface::Own).await;
     let peaks = || [&fleet.near, &fleet.far].map(|daemon| daemon.process.peak_memory());
     let before = peaks();
-    for odd in answers::without_content().into_iter().chain(answers::without_end()) {
+    let endless = answers::without_content().into_iter().chain(answers::without_end());
+    for odd in endless.chain([answers::smallest_chunks()]) {
         fleet.server.answer.send_replace(Some(odd.clone()));
         let mut callers = JoinSet::new();
         for n in 0..CALLERS {
@@ -403,3 +404,20 @@
         );
     }
 }
+
+/// Guards against an answer in the smallest chunks that keeps a daemon busy beyond the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_in_chunks_of_one_byte_ends_at_the_deadline() {
+    let fleet = Fleet::start(Interface::Own).await;
+    fleet.server.answer.send_replace(Some(answers::smallest_chunks()));
+    for (daemon, place) in [(&fleet.near, "near"), (&fleet.far, "far")] {
+        for repeat in [Repeat::Allowed, Repeat::Forbidden] {
+            assert!(fleet.is_served(daemon).await, "{place}: other requests are not served");
+            let ask = Interface::Own.odd(repeat);
+            let took = raw::time_to_end(&daemon.caller, &ask.with("connection", "close")).await;
+            let took = took.unwrap();
+            println!("{place} {repeat:?}: ended after {took:?}");
+            assert!(took < DEADLINE + END_TIMEOUT, "{place} {repeat:?}: ended after {took:?}");
+        }
+    }
+}
--- a/crates/cherrystream/tests/processes/odd_answers/raw.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/raw.rs
@@ -2,12 +2,14 @@
 
 use super::super::support::client::Ask;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 /// Longest wait for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Bytes that are read at once.
+const READ_BYTES: usize = 256 * 1024;
 /// Time in which nothing may follow a whole answer.
 const QUIET_TIME: Duration = Duration::from_millis(50);
 
@@ -74,3 +76,13 @@
     tokio::time::sleep(time).await;
     Ok(())
 }
+
+/// Sends a request, and reads all bytes until the connection is closed. Returns how long that took.
+pub async fn time_to_end(address: &str, ask: &Ask) -> io::Result<Duration> {
+    let mut stream = TcpStream::connect(address).await?;
+    let sent_at = Instant::now();
+    stream.write_all(&encode(address, ask)).await?;
+    let mut buf = vec![0; READ_BYTES];
+    while stream.read(&mut buf).await? > 0 {}
+    Ok(sent_at.elapsed())
+}
