--- a/crates/cherrystream/tests/processes/odd_answers/rejections.rs
+++ b/crates/cherrystream/tests/processes/odd_answers/rejections.rs
@@ -1,6 +1,7 @@
 //! A server that rejects each request when it comes first, runs it when it comes again, and sends
 //! each rejection a second time, in the place of the next answer on the connection.
 
+use super::requests::NOT_RUN_LINE;
 use std::collections::BTreeSet;
 use std::io;
 use std::sync::Mutex;
@@ -37,7 +38,7 @@
         }
         if self.rejected.lock().unwrap().insert(lines.into()) {
             let rejection = format!(
-                "HTTP/1.1 503 Service Unavailable\r\n{lines}x-not-executed: 1\r\n\
+                "HTTP/1.1 503 Service Unavailable\r\n{lines}{NOT_RUN_LINE}\
                  content-length: 0\r\n\r\n"
             );
             late.0 = Some(rejection.clone());
